feat(core): count the targets that ran a request, and try those that failed it no more

A silent target is given up once, after 0.8 of the wanted latency: at half of it, four look-ups with long work were cut four times.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -18,6 +18,7 @@
 use self::cold::Gate;
 use self::health::{Health, Standing};
 use self::load::Loads;
+use crate::course::{Claim, Course};
 use crate::placement::{Bounded, Candidate, Least, Placement};
 use crate::refusal::Reason;
 use crate::request::Request;
@@ -232,7 +233,7 @@
         });
     }
 
-    /// Chooses a target for a request, apart from those that were tried.
+    /// Chooses a target for a request, in view of the attempts so far.
     ///
     /// # Errors
     ///
@@ -241,9 +242,9 @@
         &mut self,
         now: Instant,
         request: &Request,
-        tried: &BTreeSet<String>,
+        course: &Course,
     ) -> Result<Choice, Refusal> {
-        let ranked = self.rank(now, request, tried)?;
+        let ranked = self.rank(now, request, course)?;
         let warming = Refusal { reason: Reason::Warming, wait: ROOM_WAIT };
         ranked.into_iter().find(|choice| self.admit(&choice.target, now)).ok_or(warming)
     }
@@ -253,7 +254,7 @@
         &self,
         now: Instant,
         request: &Request,
-        tried: &BTreeSet<String>,
+        course: &Course,
     ) -> Result<Vec<Choice>, Refusal> {
         let serving: Vec<&str> = self
             .records
@@ -267,13 +268,15 @@
         }
         let total: u32 = serving.iter().map(|name| self.loads.of(name, now)).sum();
         let bound = self.bound(total, serving.len());
-        let open = serving.into_iter().filter(|name| !tried.contains(*name));
+        let open = serving.into_iter().filter(|name| course.claim(name) != Claim::Barred);
         let candidates: Vec<Candidate<'_>> =
             open.map(|name| self.candidate(name, bound, now)).collect();
         let ranked = match &request.prompt {
             Some(prompt) => Bounded.rank(prompt.key(), &candidates),
             None => Least.rank(request.key(), &candidates),
         };
+        let mut ranked: Vec<usize> = ranked;
+        ranked.sort_by_key(|index| course.claim(candidates[*index].name));
         let choice = |(place, index): (usize, usize)| {
             let Candidate { name, load, .. } = candidates[index];
             let record = &self.records[name];
--- a/crates/cornelpass-core/src/lib.rs
+++ b/crates/cornelpass-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod claim;
 pub mod clock;
 pub mod config;
+pub mod course;
 pub mod digest;
 pub mod events;
 pub mod fleet;
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -1,16 +1,17 @@
 //! Brings requests to targets: one attempt after another, until there is an answer.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cornelpass_caller::gateway::{self, Message, Piece};
 use cornelpass_caller::problem::Problem;
+use cornelpass_core::course::{Course, Ended, Next, Terms};
 use cornelpass_core::events::Events;
+use cornelpass_core::fleet::health::Health;
 use cornelpass_core::plan::Plan;
 use cornelpass_core::refusal::{Reason, Run};
-use cornelpass_core::request::{Repeat, Request};
+use cornelpass_core::request::Request;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use hyper::StatusCode;
@@ -23,8 +24,8 @@
 /// Pieces held for a caller that reads slowly.
 const BUFFER: usize = 8;
 
-/// Most tries at targets that did not run the request.
-const TRY_LIMIT: usize = 4;
+/// Part of the wanted latency after which a silent target is given up for another one.
+const SWITCH_PART: f64 = 0.8;
 
 /// Time after which a caller is asked to come back when there is no configuration yet.
 const CONFIG_WAIT: Duration = Duration::from_millis(300);
@@ -68,18 +69,21 @@
     }
 }
 
-/// What the attempts at a request came to so far.
-struct Course {
-    tried: BTreeSet<String>,
-    /// Attempts that may have run.
-    ran: u32,
-    effect: Run,
+/// What is known of a request's end so far.
+struct Progress {
+    course: Course,
     reason: Reason,
     wait: Duration,
     /// A target's own failure, to be passed on if nothing better comes.
     failure: Option<(StatusCode, Box<HeaderMap>, Bytes)>,
 }
 
+/// What follows a step.
+enum Step {
+    Again,
+    Done,
+}
+
 async fn run(state: Arc<State>, request: Request, message: Message, pieces: Sender<Piece>) {
     let _open = state.enter();
     state.budgets().request(state.clock.now(), &request.service);
@@ -91,119 +95,125 @@
         begun: false,
         weights: None,
     };
-    let mut course = Course {
-        tried: BTreeSet::new(),
-        ran: 0,
-        effect: Run::NotRun,
+    let terms = Terms { repeat: request.repeat, targets: request.attempts };
+    let mut progress = Progress {
+        course: Course::new(terms),
         reason: Reason::NoTarget,
         wait: RETRY_AFTER,
         failure: None,
     };
-    while attempt(&state, &mut answer, &mut course).await {}
+    while let Step::Again = attempt(&state, &mut answer, &mut progress).await {}
 }
 
-/// Makes one attempt; returns whether another one is to follow.
-async fn attempt(state: &State, answer: &mut Answer<'_>, course: &mut Course) -> bool {
+/// Makes one attempt.
+async fn attempt(state: &State, answer: &mut Answer<'_>, progress: &mut Progress) -> Step {
     let request = answer.request;
     let now = state.clock.now();
     if request.left(now).is_zero() {
-        course.reason = Reason::DeadlineExceeded;
-        return finish(answer, course).await;
+        progress.reason = Reason::DeadlineExceeded;
+        return finish(answer, progress).await;
     }
-    let chosen = state.fleet().choose(now, request, &course.tried);
+    let chosen = state.fleet().choose(now, request, &progress.course);
     let choice = match chosen {
         Ok(choice) => choice,
         Err(refusal) => {
-            if course.tried.is_empty() {
-                (course.reason, course.wait) = (refusal.reason, refusal.wait);
+            if progress.course.attempts() == 0 {
+                (progress.reason, progress.wait) = (refusal.reason, refusal.wait);
             }
-            return finish(answer, course).await;
+            return finish(answer, progress).await;
         }
     };
-    let last = !request.repeat.allowed() || course.ran + 1 >= request.attempts;
-    let left = request.left(now);
-    let patience = if last { left } else { left.min(request.target_latency / 2) };
     state.fleet().loads().sent(&choice.target);
-    log!(Code::Routed, id = request.id, target = choice.target, load = choice.load,
-        bound = choice.bound, standing = %choice.standing, place = choice.place);
-    let outcome = answer.attempt(state, &choice, patience).await;
-    let now = state.clock.now();
+    log!(
+        Code::Routed,
+        id = request.id,
+        content = format_args!("{:016x}", request.digest),
+        target = choice.target,
+        attempt = progress.course.attempts() + 1,
+        load = choice.load,
+        bound = choice.bound,
+        standing = %choice.standing,
+        place = choice.place
+    );
+    let outcome = answer.attempt(state, &choice, patience(request, &progress.course, now)).await;
     state.fleet().loads().ended(&choice.target);
-    match outcome {
+    ended(state, answer, progress, &choice.target, outcome).await
+}
+
+/// Time for the head of an answer, after which another target is tried.
+fn patience(request: &Request, course: &Course, now: Instant) -> Duration {
+    let left = request.left(now);
+    let first = course.is_repeatable() && course.attempts() == 0;
+    if first { left.min(request.target_latency.mul_f64(SWITCH_PART)) } else { left }
+}
+
+async fn ended(
+    state: &State,
+    answer: &mut Answer<'_>,
+    progress: &mut Progress,
+    target: &str,
+    outcome: Outcome,
+) -> Step {
+    let (id, now) = (&answer.request.id, state.clock.now());
+    let begun = answer.begun;
+    let ended = match outcome {
         Outcome::Whole => {
-            state.fleet().health(&choice.target).into_iter().for_each(|health| health.answered());
-            log!(
-                Code::Answered,
-                id = request.id,
-                target = choice.target,
-                ms = now.saturating_duration_since(request.begun).as_millis() as u64
-            );
-            false
+            state.fleet().health(target).into_iter().for_each(Health::answered);
+            let ms = now.saturating_duration_since(answer.request.begun).as_millis();
+            log!(Code::Answered, id, target, ms = u64::try_from(ms).unwrap_or(u64::MAX));
+            return Step::Done;
         }
         Outcome::Gone => {
-            log!(Code::CallerGone, id = request.id, target = choice.target);
-            false
+            log!(Code::CallerGone, id, target);
+            return Step::Done;
         }
         Outcome::Refused(status, headers, body) => {
-            course.ran += 1;
-            course.effect = Run::Unknown;
-            course.failure = Some((status, headers, body));
-            again(state, answer, course, choice.target, true).await
+            log!(Code::AttemptFailed, id, target, status = status.as_u16());
+            progress.failure = Some((status, headers, body));
+            Ended { run: Run::Unknown, arrived: true, begun, answered: true }
         }
         Outcome::Failed { reason, run, arrived } => {
-            log!(Code::AttemptFailed, id = request.id, target = choice.target,
-                reason = reason.name(), run = %run);
-            state.fleet().health(&choice.target).into_iter().for_each(|health| health.failed(now));
-            course.reason = reason;
-            course.effect = course.effect.max(run);
-            course.ran += u32::from(run == Run::Unknown);
-            again(state, answer, course, choice.target, arrived).await
+            log!(Code::AttemptFailed, id, target, reason = reason.name(), run = %run);
+            state.fleet().health(target).into_iter().for_each(|health| health.failed(now));
+            progress.reason = reason;
+            Ended { run, arrived, begun, answered: false }
         }
+    };
+    match progress.course.ended(target, ended) {
+        Next::Again { paid: true } if !pay(state, answer.request) => {
+            progress.reason = Reason::RetryBudget;
+            finish(answer, progress).await
+        }
+        Next::Again { .. } => Step::Again,
+        Next::GiveUp => finish(answer, progress).await,
     }
 }
 
-/// Decides whether another attempt follows.
-async fn again(
-    state: &State,
-    answer: &mut Answer<'_>,
-    course: &mut Course,
-    target: String,
-    arrived: bool,
-) -> bool {
-    let request = answer.request;
-    course.tried.insert(target);
-    let allowed = course.effect == Run::NotRun || request.repeat.allowed();
-    let stuck = answer.begun && request.repeat != Repeat::Rest;
-    let over = course.ran >= request.attempts || course.tried.len() >= TRY_LIMIT;
-    if !allowed || stuck || over {
-        return finish(answer, course).await;
-    }
+/// Takes a retry from the budget.
+fn pay(state: &State, request: &Request) -> bool {
     let (now, routers) = (state.clock.now(), state.fleet().loads().routers());
-    if arrived && !state.budgets().spend(now, &request.service, routers) {
-        course.reason = Reason::RetryBudget;
-        return finish(answer, course).await;
-    }
-    true
+    state.budgets().spend(now, &request.service, routers)
 }
 
-/// Gives the caller the final answer; returns that no attempt follows.
-async fn finish(answer: &mut Answer<'_>, course: &mut Course) -> bool {
+/// Gives the caller the final answer.
+async fn finish(answer: &mut Answer<'_>, progress: &mut Progress) -> Step {
     let id = &answer.request.id;
+    let effect = progress.course.effect();
     if answer.begun {
-        log!(Code::AnswerCut, id, reason = course.reason.name());
+        log!(Code::AnswerCut, id, reason = progress.reason.name());
         answer.give(Piece::Cut).await;
-        return false;
+        return Step::Done;
     }
-    if let Some((status, headers, body)) = course.failure.take() {
+    if let Some((status, headers, body)) = progress.failure.take() {
         log!(Code::FailurePassed, id, status = status.as_u16());
         answer.give(Piece::Head(status, headers)).await;
         answer.give(Piece::Data(body)).await;
         answer.give(Piece::End).await;
-        return false;
+        return Step::Done;
     }
-    let wait = (course.effect == Run::NotRun).then_some(course.wait);
-    let problem = Problem::new(course.reason, course.effect).retry_after(wait);
-    log!(Code::Refused, id, reason = course.reason.name(), run = %course.effect);
+    let wait = (effect == Run::NotRun).then_some(progress.wait);
+    let problem = Problem::new(progress.reason, effect).retry_after(wait);
+    log!(Code::Refused, id, reason = progress.reason.name(), run = %effect);
     answer.give(Piece::Problem(problem)).await;
-    false
+    Step::Done
 }
