feat(router): reports between routers; trial of homes by first parts

Trial, to be reverted: homes of prompts on as many engines as their first part's share of the work needs.

--- a/crates/cornelpass-caller/src/gateway.rs
+++ b/crates/cornelpass-caller/src/gateway.rs
@@ -272,8 +272,8 @@
 
 /// A whole answer.
 #[must_use]
-pub fn whole(status: StatusCode, text: &'static str) -> Response<Body> {
-    let body = Full::new(Bytes::from_static(text.as_bytes()));
+pub fn whole(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let body = Full::new(body.into());
     let mut response = Response::new(body.map_err(|never| match never {}).boxed());
     *response.status_mut() = status;
     response
--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -19,8 +19,11 @@
 use self::health::{Health, Standing};
 use self::load::Loads;
 use crate::course::{Claim, Course};
-use crate::placement::{Bounded, Candidate, Least, Placement};
+use crate::homes::Homes;
+use crate::peers::Peers;
+use crate::placement::{self, Candidate, Least, Placement};
 use crate::refusal::Reason;
+use crate::report;
 use crate::request::Request;
 
 /// Time after the platform's return within which entries that lapsed meanwhile come back.
@@ -106,8 +109,10 @@
     pub bound: u32,
     /// How the target stood.
     pub standing: Standing,
-    /// Place among the candidates, from 0.
+    /// Place in the order of preference before loads and health counted, from 0.
     pub place: usize,
+    /// Engines that share the homes of prompts like this one.
+    pub width: usize,
 }
 
 /// Why a request goes nowhere now.
@@ -131,6 +136,8 @@
     closed: BTreeSet<String>,
     cold_rates: BTreeMap<String, f64>,
     loads: Loads,
+    peers: Peers,
+    homes: Homes,
     /// Since when the platform answers again, if it was away.
     returned: Option<Instant>,
 }
@@ -205,11 +212,27 @@
         self.closed = closed;
     }
 
-    /// Work in progress by target.
+    /// Work of this router in progress, by target.
     pub const fn loads(&mut self) -> &mut Loads {
         &mut self.loads
     }
 
+    /// The other routers.
+    pub const fn peers(&mut self) -> &mut Peers {
+        &mut self.peers
+    }
+
+    /// Homes of prompts.
+    pub const fn homes(&mut self) -> &mut Homes {
+        &mut self.homes
+    }
+
+    /// Requests of all routers in progress at a target.
+    #[must_use]
+    pub fn load(&self, target: &str, now: Instant) -> u32 {
+        self.loads.of(target) + self.peers.load(now, report::short(target))
+    }
+
     /// Health of a target.
     pub fn health(&mut self, target: &str) -> Option<&mut Health> {
         self.records.get_mut(target).map(|record| &mut record.health)
@@ -221,9 +244,16 @@
         self.records.get(target).map(|record| record.row.address)
     }
 
-    /// Names of all targets with their state.
-    pub fn iter(&self) -> impl Iterator<Item = (&str, &Row)> {
-        self.records.iter().map(|(name, record)| (name.as_str(), &record.row))
+    /// Targets that are listed, with the revisions of their entries.
+    pub fn listed(&self) -> impl Iterator<Item = (&str, &Row, u64)> {
+        let listed = self.records.iter().filter(|(_, record)| record.missing.is_none());
+        listed.map(|(name, record)| (name.as_str(), &record.row, record.revision))
+    }
+
+    /// Data centres that are out of service.
+    #[must_use]
+    pub const fn closed(&self) -> &BTreeSet<String> {
+        &self.closed
     }
 
     /// Drops the targets that have been gone for longer than any request lasts.
@@ -251,7 +281,7 @@
 
     /// The targets that may take a request, the most preferred first.
     fn rank(
-        &self,
+        &mut self,
         now: Instant,
         request: &Request,
         course: &Course,
@@ -266,25 +296,32 @@
         if serving.is_empty() {
             return Err(Refusal { reason: Reason::NoTarget, wait: ROOM_WAIT });
         }
-        let total: u32 = serving.iter().map(|name| self.loads.of(name, now)).sum();
+        let total: u32 = serving.iter().map(|name| self.load(name, now)).sum();
         let bound = self.bound(total, serving.len());
         let open = serving.into_iter().filter(|name| course.claim(name) != Claim::Barred);
         let candidates: Vec<Candidate<'_>> =
             open.map(|name| self.candidate(name, bound, now)).collect();
-        let ranked = match &request.prompt {
-            Some(prompt) => Bounded.rank(prompt.key(), &candidates),
+        let mut width = 0;
+        let mut order: Vec<&str> = Vec::new();
+        let mut ranked: Vec<usize> = match &request.prompt {
+            Some(prompt) => {
+                let names = candidates.iter().map(|candidate| candidate.name);
+                order = self.homes.rank(now, prompt, names);
+                width = self.homes.width(now, prompt.root(), candidates.len());
+                placement::preferred(&candidates, &order)
+            }
             None => Least.rank(request.key(), &candidates),
         };
-        let mut ranked: Vec<usize> = ranked;
         ranked.sort_by_key(|index| course.claim(candidates[*index].name));
-        let choice = |(place, index): (usize, usize)| {
+        let choice = |index: usize| {
             let Candidate { name, load, .. } = candidates[index];
             let record = &self.records[name];
             let (target, address) = (name.to_owned(), record.row.address);
             let standing = record.health.standing(now);
-            Choice { target, address, load, bound, standing, place }
+            let place = order.iter().position(|other| *other == name).unwrap_or_default();
+            Choice { target, address, load, bound, standing, place, width }
         };
-        Ok(ranked.into_iter().enumerate().map(choice).collect())
+        Ok(ranked.into_iter().map(choice).collect())
     }
 
     /// Load that each of some targets may reach, in requests.
@@ -301,7 +338,7 @@
 
     fn candidate<'a>(&self, name: &'a str, bound: u32, now: Instant) -> Candidate<'a> {
         let record = &self.records[name];
-        let load = self.loads.of(name, now);
+        let load = self.load(name, now);
         let held = record.health.standing(now) != Standing::Good;
         let candidate = Candidate::new(name, 1).load(load, bound);
         if held { candidate.ramp(0.0) } else { candidate }
@@ -328,6 +365,6 @@
         let Some(record) = self.records.get_mut(name) else { return false };
         let rate = self.cold_rates.get(&record.row.service).copied().unwrap_or_default();
         let cold = record.cold_until.is_some_and(|until| now < until) && rate > 0.0;
-        !cold || record.gate.admit(now, rate, self.loads.routers())
+        !cold || record.gate.admit(now, rate, self.peers.members(now))
     }
 }
--- a/crates/cornelpass-core/src/fleet/load.rs
+++ b/crates/cornelpass-core/src/fleet/load.rs
@@ -1,26 +1,13 @@
-//! Work in progress by target: this router's own, and what the other routers last told.
+//! Work of this router in progress, by target.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
 
-/// Age at which what another router told says nothing any more.
-///
-/// Routers tell several times a second; a second without a word means a router that is gone, cut
-/// off or frozen.
-pub const LIFETIME: Duration = Duration::from_secs(1);
+use crate::report;
 
-/// What another router told.
-#[derive(Clone, Debug)]
-struct Told {
-    at: Instant,
-    loads: BTreeMap<String, u32>,
-}
-
-/// Requests in progress by target.
+/// Requests of this router in progress, by target.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
     own: BTreeMap<String, u32>,
-    others: BTreeMap<String, Told>,
 }
 
 impl Loads {
@@ -39,29 +26,18 @@
         }
     }
 
-    /// Takes what another router has in progress.
-    pub fn told(&mut self, now: Instant, router: &str, loads: BTreeMap<String, u32>) {
-        self.others.insert(router.to_owned(), Told { at: now, loads });
-    }
-
-    /// Requests in progress at a target, of all routers.
-    #[must_use]
-    pub fn of(&self, target: &str, now: Instant) -> u32 {
-        let own = self.own.get(target).copied().unwrap_or_default();
-        let live =
-            self.others.values().filter(|told| now.saturating_duration_since(told.at) <= LIFETIME);
-        live.filter_map(|told| told.loads.get(target)).sum::<u32>() + own
-    }
-
-    /// Requests of this router in progress, by target.
+    /// Requests in progress at a target.
     #[must_use]
-    pub const fn own(&self) -> &BTreeMap<String, u32> {
-        &self.own
+    pub fn of(&self, target: &str) -> u32 {
+        self.own.get(target).copied().unwrap_or_default()
     }
 
-    /// Routers that are known, this one included.
+    /// Requests in progress, as they are told.
     #[must_use]
-    pub fn routers(&self) -> usize {
-        self.others.len() + 1
+    pub fn list(&self) -> Vec<(u32, u16)> {
+        let item = |(name, load): (&String, &u32)| {
+            (report::short(name), u16::try_from(*load).unwrap_or(u16::MAX))
+        };
+        self.own.iter().map(item).collect()
     }
 }
--- /dev/null
+++ b/crates/cornelpass-core/src/peers.rs
@@ -0,0 +1,151 @@
+//! The other routers: who they are, and what each last told.
+//!
+//! A router is known from the platform's list, from the settings, or because it told something.
+//! What it told counts for a few of its periods; its place in the division of budgets and cold rates
+//! is kept for longer, since a router that can not be heard may still send requests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::report::{self, Report};
+
+/// Time for which what a router told counts, in its periods.
+const PERIODS: u32 = 4;
+
+/// Shortest such time.
+const LEAST_LIFETIME: Duration = Duration::from_millis(600);
+
+/// Time after which a router that tells nothing does not count in divisions any more.
+pub const MEMBER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time for which a router that tells nothing is still told, and may come back.
+pub const FORGET_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// What is known of another router.
+#[derive(Clone, Debug)]
+struct Peer {
+    /// When it was last heard of, by a report or by the platform's list.
+    known: Instant,
+    heard: Option<Instant>,
+    period: Duration,
+    report: Report,
+}
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// The router was not known, or has started again.
+    Joined,
+    /// The router is back after it was silent.
+    Returned,
+    /// Nothing but the report itself.
+    Usual,
+    /// It is older than the last one.
+    Stale,
+}
+
+/// The other routers.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    /// No other routers.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A router that the platform or the settings name.
+    pub fn name(&mut self, now: Instant, address: SocketAddr) {
+        let (period, report) = (report::MIN_PERIOD, Report::default());
+        let fresh = Peer { known: now, heard: None, period, report };
+        self.peers.entry(address).or_insert(fresh).known = now;
+    }
+
+    /// Takes a report.
+    pub fn take(&mut self, now: Instant, address: SocketAddr, report: Report) -> News {
+        let Some(peer) = self.peers.get_mut(&address) else {
+            let period = report::MIN_PERIOD;
+            self.peers.insert(address, Peer { known: now, heard: Some(now), period, report });
+            return News::Joined;
+        };
+        let restarted = peer.report.incarnation != report.incarnation;
+        if !restarted && report.sequence <= peer.report.sequence {
+            return News::Stale;
+        }
+        let news = match peer.heard {
+            _ if restarted => News::Joined,
+            Some(heard) if now.saturating_duration_since(heard) <= peer.lifetime() => News::Usual,
+            _ => News::Returned,
+        };
+        if let Some(heard) = peer.heard.filter(|_| news == News::Usual) {
+            let gap = now.saturating_duration_since(heard);
+            peer.period = (peer.period * 3 + gap) / 4;
+        }
+        (peer.known, peer.heard, peer.report) = (now, Some(now), report);
+        news
+    }
+
+    /// Routers that were heard and have fallen silent since the last call.
+    pub fn lost(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let mut lost = Vec::new();
+        for (address, peer) in &mut self.peers {
+            let silent =
+                peer.heard.is_some_and(|at| now.saturating_duration_since(at) > peer.lifetime());
+            if silent {
+                peer.heard = None;
+                lost.push(*address);
+            }
+        }
+        self.peers.retain(|_, peer| now.saturating_duration_since(peer.known) < FORGET_TIMEOUT);
+        lost
+    }
+
+    /// Addresses of all routers that are to be told.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.keys().copied()
+    }
+
+    /// Routers that share budgets and rates, this one included.
+    #[must_use]
+    pub fn members(&self, now: Instant) -> usize {
+        let member = |peer: &&Peer| now.saturating_duration_since(peer.known) < MEMBER_TIMEOUT;
+        1 + self.peers.values().filter(member).count()
+    }
+
+    /// What the others last told, as far as it counts.
+    pub fn reports(&self, now: Instant) -> impl Iterator<Item = &Report> {
+        self.peers.values().filter(move |peer| peer.is_live(now)).map(|peer| &peer.report)
+    }
+
+    /// What the others last told, with its age and its sender.
+    pub fn told(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, Duration, &Report)> {
+        self.peers.iter().filter(move |(_, peer)| peer.is_live(now)).map(move |(address, peer)| {
+            let age = peer.heard.map(|at| now.saturating_duration_since(at)).unwrap_or_default();
+            (*address, age, &peer.report)
+        })
+    }
+
+    /// Requests in progress at a target, of all the others.
+    #[must_use]
+    pub fn load(&self, now: Instant, target: u32) -> u32 {
+        let of = |report: &Report| {
+            let load = report.loads.iter().find(|(name, _)| *name == target);
+            load.map_or(0, |(_, load)| u32::from(*load))
+        };
+        self.reports(now).map(of).sum()
+    }
+}
+
+impl Peer {
+    fn lifetime(&self) -> Duration {
+        (self.period * PERIODS).max(LEAST_LIFETIME)
+    }
+
+    fn is_live(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|at| now.saturating_duration_since(at) <= self.lifetime())
+    }
+}
--- a/crates/cornelpass-core/src/placement.rs
+++ b/crates/cornelpass-core/src/placement.rs
@@ -114,13 +114,25 @@
 
 impl Placement for Bounded {
     fn rank(&self, key: u64, candidates: &[Candidate<'_>]) -> Vec<usize> {
-        sorted(candidates, |candidate| {
-            let tier = u8::from(candidate.over()) + 2 * u8::from(candidate.held());
-            (tier, -score(key, candidate))
-        })
+        sorted(candidates, |candidate| (tier(candidate), -score(key, candidate)))
     }
 }
 
+/// Indices of candidates in an order of their names, apart from those that are over their bound or
+/// held back, which come after the others as with [`Bounded`].
+#[must_use]
+pub fn preferred(candidates: &[Candidate<'_>], order: &[&str]) -> Vec<usize> {
+    let place = |name: &str| order.iter().position(|other| *other == name).unwrap_or(usize::MAX);
+    let mut ranked: Vec<usize> = (0..candidates.len()).collect();
+    ranked.sort_by_key(|index| (tier(&candidates[*index]), place(candidates[*index].name)));
+    ranked
+}
+
+/// Candidates within their bound come before those over it, and all of them before those held back.
+fn tier(candidate: &Candidate<'_>) -> u8 {
+    u8::from(candidate.over()) + 2 * u8::from(candidate.held())
+}
+
 /// Weighted rendezvous hashing without a bound.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Plain;
--- /dev/null
+++ b/crates/cornelpass-core/src/report.rs
@@ -0,0 +1,60 @@
+//! What routers tell each other several times a second.
+//!
+//! A report names targets and contents by short hashes, and leaves out what is zero, so that it is
+//! some tens of bytes long. Routers that are many report less often: what one router sends stays
+//! within [`BYTES_PER_SECOND`].
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::digest;
+
+/// Most that one router sends to all others, in bytes a second: the users' aim for control.
+pub const BYTES_PER_SECOND: u32 = 4096;
+
+/// Shortest time between two reports.
+pub const MIN_PERIOD: Duration = Duration::from_millis(100);
+
+/// Longest time between two reports.
+pub const MAX_PERIOD: Duration = Duration::from_secs(2);
+
+/// Bytes of the headers of a datagram.
+const HEADER_BYTES: usize = 28;
+
+/// Most suspected targets and contents in one report.
+pub const LIST_LIMIT: usize = 32;
+
+/// Short hash of a target's name.
+#[must_use]
+pub fn short(target: &str) -> u32 {
+    (digest::key(target) >> 32) as u32
+}
+
+/// A report of one router.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Random number of the process, so that a restart shows.
+    pub incarnation: u32,
+    /// Number of the report within the process.
+    pub sequence: u32,
+    /// Version of the configuration in force.
+    pub version: u64,
+    /// Whether the router is about to stop.
+    pub leaving: bool,
+    /// Requests in progress, by target.
+    pub loads: Vec<(u32, u16)>,
+    /// Targets that failed a moment ago, and how long ago, in units of 10 ms.
+    pub suspects: Vec<(u32, u8)>,
+    /// Contents suspected of crashing targets; one stands once for each strike.
+    pub contents: Vec<u64>,
+}
+
+/// Time between two reports of a length in bytes, to a number of other routers.
+#[must_use]
+pub fn period(length: usize, others: usize) -> Duration {
+    let bytes = (length + HEADER_BYTES).saturating_mul(others);
+    #[expect(clippy::cast_precision_loss, reason = "reports are short")]
+    let seconds = bytes as f64 / f64::from(BYTES_PER_SECOND);
+    Duration::from_secs_f64(seconds).clamp(MIN_PERIOD, MAX_PERIOD)
+}
--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -47,6 +47,14 @@
     LinkOpened = 300,
     /// A connection to a target's process was lost or is silent.
     LinkLost = 301,
+    /// Another router was heard for the first time, or has started again.
+    PeerJoined = 302,
+    /// Another router is heard again.
+    PeerReturned = 303,
+    /// Another router has fallen silent.
+    PeerLost = 304,
+    /// Something other than a report came from another router.
+    PeerUnreadable = 305,
     /// A request was refused.
     Refused = 400,
     /// A request is tried again.
@@ -95,6 +103,8 @@
             Self::ListenFailed | Self::ConfigRejected => Level::ERROR,
             Self::PlatformUnreachable
             | Self::LinkLost
+            | Self::PeerLost
+            | Self::PeerUnreadable
             | Self::AnswerCut
             | Self::TargetRestarted
             | Self::TargetLost
--- a/crates/cornelpass-router/src/gateway.rs
+++ b/crates/cornelpass-router/src/gateway.rs
@@ -1,11 +1,13 @@
 //! The gateway: requests that are passed on as they came, straight to the targets.
 //!
 //! [`state::State`] joins the configuration, the fleet and the retry budgets. [`follow`] keeps it up
-//! to date from the platform, [`relay`] takes requests from the callers' side and [`exchange`] makes
+//! to date from the platform and [`peers`] from the other routers, [`relay`] takes requests from the callers' side and [`exchange`] makes
 //! one attempt at one target.
 
 pub mod exchange;
 pub mod follow;
+pub mod known;
+pub mod peers;
 pub mod relay;
 pub mod serve;
 pub mod state;
--- a/crates/cornelpass-router/src/gateway/follow.rs
+++ b/crates/cornelpass-router/src/gateway/follow.rs
@@ -4,6 +4,7 @@
 //! failure, and when the platform has lost its history, it is read whole again.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,9 @@
 /// Longest wait of one call for a change; a silent connection is noticed after it.
 const WAIT: Duration = Duration::from_secs(4);
 
+/// The same for changes of the routers' entries, which these tell each other as well.
+const ROUTERS_WAIT: Duration = Duration::from_secs(25);
+
 /// Time for an answer, beyond the wait.
 const PATIENCE: Duration = Duration::from_millis(600);
 
@@ -27,6 +31,9 @@
 /// Pause between two calls for changes of targets, whose entries change all the time.
 const TARGETS_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause after a failed registration; the others hear of this router by its reports as well.
+const REGISTER_PAUSE: Duration = Duration::from_secs(2);
+
 /// What is known of a topic.
 #[derive(Debug, Default)]
 struct Known {
@@ -41,9 +48,10 @@
     loop {
         let answer = match known.revision {
             None => feed.read(topic, PATIENCE).await.map(|page| (Changes::Page(page), true)),
-            Some(since) => {
-                feed.changes(topic, since, WAIT, PATIENCE).await.map(|changes| (changes, false))
-            }
+            Some(since) => feed
+                .changes(topic, since, wait(topic), PATIENCE)
+                .await
+                .map(|changes| (changes, false)),
         };
         let failed = answer.is_err();
         note(&state, topic, &mut known, answer.as_ref().err());
@@ -62,6 +70,13 @@
     }
 }
 
+const fn wait(topic: Topic) -> Duration {
+    match topic {
+        Topic::Operators | Topic::Targets => WAIT,
+        Topic::Routers => ROUTERS_WAIT,
+    }
+}
+
 fn note(state: &State, topic: Topic, known: &mut Known, error: Option<&Error>) {
     let reachable = error.is_none();
     if known.reachable == Some(reachable) {
@@ -109,6 +124,9 @@
                 state.fleet().unlist(now, &name, entry.revision);
             }
             Fact::Unreadable { key, problem } => log!(Code::ConfigRejected, key, problem),
+            Fact::Router(name, address) if name != state.name => {
+                state.fleet().peers().name(now, address);
+            }
             Fact::Router(..) | Fact::RouterGone(_) | Fact::Other => {}
         }
     }
@@ -116,3 +134,11 @@
         state.fleet().close(closed.clone());
     }
 }
+
+/// Writes this router's entry, until the platform has taken it.
+pub async fn register(state: Arc<State>, feed: Arc<dyn Feed>, address: SocketAddr) {
+    while let Err(error) = feed.register(&state.name, address, PATIENCE).await {
+        log!(Code::PlatformUnreachable, call = "register", %error);
+        sleep(REGISTER_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/cornelpass-router/src/gateway/known.rs
@@ -0,0 +1,62 @@
+//! What a router knows from the platform, as it tells it to a router that can not ask the platform.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use cornelpass_core::fleet::Row;
+use cornelpass_core::plan::Plan;
+use serde::{Deserialize, Serialize};
+
+use super::state::State;
+
+/// What a router knows.
+#[derive(Serialize, Deserialize)]
+pub struct Known {
+    plan: Plan,
+    /// Data centres that are out of service.
+    closed: BTreeSet<String>,
+    /// Targets with the revisions of their entries.
+    targets: BTreeMap<String, (Row, u64)>,
+    /// Addresses for reports of the other routers.
+    routers: Vec<SocketAddr>,
+}
+
+impl Known {
+    /// What a gateway knows; nothing before it has a configuration.
+    #[must_use]
+    pub fn of(state: &State) -> Option<Self> {
+        let plan = Plan::clone(&*state.plan()?);
+        let mut fleet = state.fleet();
+        let targets = fleet
+            .listed()
+            .map(|(name, row, revision)| (name.to_owned(), (row.clone(), revision)))
+            .collect();
+        let closed = fleet.closed().clone();
+        let routers = fleet.peers().addresses().collect();
+        Some(Self { plan, closed, targets, routers })
+    }
+
+    /// Version of the configuration.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.plan.version
+    }
+
+    /// Puts it into force where it is newer than what is known.
+    pub fn apply(self, state: &State) {
+        let now = state.clock.now();
+        {
+            let mut fleet = state.fleet();
+            for (name, (row, revision)) in self.targets {
+                fleet.list(now, &name, row, revision);
+            }
+            for address in self.routers {
+                fleet.peers().name(now, address);
+            }
+            if state.plan().is_none() {
+                fleet.close(self.closed);
+            }
+        }
+        state.offer(self.plan);
+    }
+}
--- /dev/null
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -0,0 +1,141 @@
+//! Reports between routers, as datagrams, and what a fresh router asks of the others.
+//!
+//! Reports are `postcard`, since a JSON-RPC connection to each router would cost more memory than
+//! all else in the process. What a fresh router asks for is larger and rare, and comes over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cornelpass_caller::gateway;
+use cornelpass_caller::response::Body;
+use cornelpass_caller::service::Service;
+use cornelpass_caller::tracked::Upload;
+use cornelpass_core::peers::News;
+use cornelpass_core::report::{self, Report};
+use cornelpass_operator::event::Code;
+use cornelpass_operator::log;
+use cornelpass_target::connection::{Connection, host};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::HOST;
+use hyper::{Request, Response, StatusCode};
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout};
+
+use super::known::Known;
+use super::state::State;
+
+/// Largest report, in bytes; it fits one packet.
+const REPORT_LIMIT: usize = 1400;
+
+/// Time for another router's answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause between two rounds of questions.
+const ASK_PAUSE: Duration = Duration::from_millis(150);
+
+/// Largest answer, in bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Tells the other routers, for as long as the process runs.
+pub async fn tell(state: Arc<State>, socket: Arc<UdpSocket>, incarnation: u32) {
+    for sequence in 1.. {
+        let report = state.report(incarnation, sequence);
+        let bytes = postcard::to_stdvec(&report).unwrap_or_default();
+        let others: Vec<SocketAddr> = state.fleet().peers().addresses().collect();
+        for address in &others {
+            // A report that is lost is followed by the next one.
+            let _ = socket.try_send_to(&bytes, *address);
+        }
+        for address in state.fleet().peers().lost(state.clock.now()) {
+            log!(Code::PeerLost, router = %address);
+        }
+        sleep(report::period(bytes.len(), others.len())).await;
+    }
+}
+
+/// Listens to the other routers, for as long as the process runs.
+pub async fn listen(state: Arc<State>, socket: Arc<UdpSocket>) {
+    let mut buffer = [0; REPORT_LIMIT];
+    loop {
+        let (length, address) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log!(Code::PeerUnreadable, %error);
+                sleep(ASK_PAUSE).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Report>(&buffer[..length]) {
+            Ok(report) => take(&state, address, report),
+            Err(error) => log!(Code::PeerUnreadable, router = %address, %error),
+        }
+    }
+}
+
+fn take(state: &State, address: SocketAddr, report: Report) {
+    let now = state.clock.now();
+    let version = report.version;
+    let news = state.fleet().peers().take(now, address, report);
+    match news {
+        News::Joined => log!(Code::PeerJoined, router = %address, version),
+        News::Returned => log!(Code::PeerReturned, router = %address, version),
+        News::Usual | News::Stale => {}
+    }
+}
+
+/// Asks the other routers for what they know, until there is a configuration.
+pub async fn ask(state: Arc<State>, port: u16) {
+    while state.plan().is_none() {
+        let others: Vec<SocketAddr> = state.fleet().peers().addresses().collect();
+        for address in others {
+            let address = SocketAddr::new(address.ip(), port);
+            if let Some(known) = fetch(address).await {
+                log!(Code::ConfigFromPeer, router = %address, version = known.version());
+                known.apply(&state);
+            }
+            if state.plan().is_some() {
+                return;
+            }
+        }
+        sleep(ASK_PAUSE).await;
+    }
+}
+
+async fn fetch(address: SocketAddr) -> Option<Known> {
+    let exchange = async {
+        let connection = Connection::open_within(address, ASK_TIMEOUT).await.ok()?;
+        let request = Request::get("/known").header(HOST, host(address));
+        let request = request.body(Full::new(Bytes::new())).ok()?;
+        let response = connection.send(request, ASK_TIMEOUT).await.ok()?;
+        let found = response.status() == StatusCode::OK;
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await.ok()?;
+        if found { serde_json::from_slice(&body.to_bytes()).ok() } else { None }
+    };
+    timeout(ASK_TIMEOUT, exchange).await.ok()?
+}
+
+/// Answers routers that ask.
+pub struct Answers {
+    state: Arc<State>,
+}
+
+impl Answers {
+    /// Answers from a gateway's state.
+    #[must_use]
+    pub const fn new(state: Arc<State>) -> Self {
+        Self { state }
+    }
+}
+
+#[async_trait]
+impl Service for Answers {
+    async fn answer(&self, _request: Request<Upload>) -> Response<Body> {
+        match Known::of(&self.state).and_then(|known| serde_json::to_vec(&known).ok()) {
+            Some(json) => gateway::whole(StatusCode::OK, json),
+            None => gateway::whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+        }
+    }
+}
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -133,10 +133,18 @@
         load = choice.load,
         bound = choice.bound,
         standing = %choice.standing,
-        place = choice.place
+        place = choice.place,
+        width = choice.width
     );
     let outcome = answer.attempt(state, &choice, patience(request, &progress.course, now)).await;
-    state.fleet().loads().ended(&choice.target);
+    {
+        let mut fleet = state.fleet();
+        fleet.loads().ended(&choice.target);
+        if let Some(prompt) = &request.prompt {
+            let end = state.clock.now();
+            fleet.homes().worked(end, prompt.root(), end.saturating_duration_since(now));
+        }
+    }
     ended(state, answer, progress, &choice.target, outcome).await
 }
 
@@ -191,7 +199,8 @@
 
 /// Takes a retry from the budget.
 fn pay(state: &State, request: &Request) -> bool {
-    let (now, routers) = (state.clock.now(), state.fleet().loads().routers());
+    let now = state.clock.now();
+    let routers = state.fleet().peers().members(now);
     state.budgets().spend(now, &request.service, routers)
 }
 
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -1,5 +1,6 @@
 //! Runs a gateway from its settings until it is asked to stop.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,12 +22,12 @@
 use cornelpass_platform::feed::Topic;
 use hyper::{Request, Response, StatusCode};
 use snafu::{ResultExt, Whatever};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 
-use super::follow;
 use super::relay::Relay;
 use super::state::State;
+use super::{follow, peers};
 
 /// Time for which a stopping gateway goes on accepting: the platform asks once a second whether it
 /// is ready, and sends new connections until the second "no".
@@ -67,7 +68,7 @@
     }
 }
 
-async fn bind(name: &str, address: std::net::SocketAddr) -> Result<TcpListener, Whatever> {
+async fn bind(name: &str, address: SocketAddr) -> Result<TcpListener, Whatever> {
     TcpListener::bind(address).await.with_whatever_context(|_| format!("listen.{name} {address}"))
 }
 
@@ -81,9 +82,10 @@
     let callers = bind("callers", settings.listen.callers).await?;
     let readiness = bind("readiness", settings.listen.readiness).await?;
     let feed = Arc::new(Store::new(settings.platform));
-    for topic in [Topic::Operators, Topic::Targets] {
+    for topic in [Topic::Operators, Topic::Targets, Topic::Routers] {
         tokio::spawn(follow::run(Arc::clone(&state), feed.clone(), topic));
     }
+    meet(&state, &settings, feed).await?;
     let (_kept, fixed) = watch::channel(Limits::default());
     let (_serving, always) = watch::channel(Stage::Serving);
     let answers = Arc::new(Readiness { state: Arc::clone(&state) });
@@ -116,6 +118,39 @@
     Ok(())
 }
 
+/// Begins to tell the other routers, and to listen to them.
+async fn meet(
+    state: &Arc<State>,
+    settings: &settings::Gateway,
+    feed: Arc<Store>,
+) -> Result<(), Whatever> {
+    let listen = settings.listen;
+    let now = state.clock.now();
+    let ip = listen.reports.ip();
+    for seed in settings.seeds.iter().filter(|seed| seed.ip() != ip) {
+        // All routers of a deployment use the same ports.
+        state.fleet().peers().name(now, SocketAddr::new(seed.ip(), listen.reports.port()));
+    }
+    let socket = UdpSocket::bind(listen.reports)
+        .await
+        .with_whatever_context(|_| format!("listen.reports {}", listen.reports))?;
+    let socket = Arc::new(socket);
+    let incarnation = rand::random();
+    tokio::spawn(peers::listen(Arc::clone(state), Arc::clone(&socket)));
+    tokio::spawn(peers::tell(Arc::clone(state), socket, incarnation));
+    tokio::spawn(peers::ask(Arc::clone(state), listen.routers.port()));
+    tokio::spawn(follow::register(Arc::clone(state), feed, listen.reports));
+    let (_kept, fixed) = watch::channel(Limits::default());
+    let (_serving, always) = watch::channel(Stage::Serving);
+    let answers = Arc::new(peers::Answers::new(Arc::clone(state)));
+    let listener = bind("routers", listen.routers).await?;
+    tokio::spawn(async move {
+        Server::over(answers, fixed, always).run(listener).await;
+        drop((_kept, _serving));
+    });
+    Ok(())
+}
+
 /// Drops what has become old, and puts new limits into force.
 async fn look_after(state: Arc<State>, limited: watch::Sender<Limits>, files: usize) {
     loop {
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -7,6 +7,7 @@
 use cornelpass_core::clock::Clock;
 use cornelpass_core::fleet::{self, Fleet};
 use cornelpass_core::plan::Plan;
+use cornelpass_core::report::Report;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use cornelpass_operator::metrics::Metrics;
@@ -108,6 +109,15 @@
         lock(&self.fleet)
     }
 
+    /// What this router tells the others.
+    #[must_use]
+    pub fn report(&self, incarnation: u32, sequence: u32) -> Report {
+        let version = self.plan().map_or(0, |plan| plan.version);
+        let leaving = self.draining.load(Ordering::SeqCst);
+        let loads = self.fleet().loads().list();
+        Report { incarnation, sequence, version, leaving, loads, ..Report::default() }
+    }
+
     /// The retry budgets.
     pub fn budgets(&self) -> MutexGuard<'_, Budgets> {
         lock(&self.budgets)
