--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 pub mod health;
 pub mod load;
+pub mod parts;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -18,13 +19,13 @@
 use self::cold::Gate;
 use self::health::{Health, Standing};
 use self::load::Loads;
+use self::parts::Parts;
 use crate::course::{Claim, Course};
-use crate::homes::Homes;
 use crate::peers::Peers;
-use crate::placement::{self, Candidate, Least, Placement};
+use crate::placement::{Bounded, Candidate, Least, Placement, Plain};
 use crate::refusal::Reason;
 use crate::report;
-use crate::request::Request;
+use crate::request::{Prompt, Request};
 
 /// Time after the platform's return within which entries that lapsed meanwhile come back.
 ///
@@ -111,8 +112,17 @@
     pub standing: Standing,
     /// Place in the order of preference before loads and health counted, from 0.
     pub place: usize,
-    /// Engines that share the homes of prompts like this one.
-    pub width: usize,
+    /// Where the target can fetch parts of the prompt from.
+    pub fetch: Option<Fetch>,
+}
+
+/// A fetch of parts of a prompt from another target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fetch {
+    /// Address of the other target.
+    pub address: SocketAddr,
+    /// Tokens that need not be read again.
+    pub tokens: u32,
 }
 
 /// Why a request goes nowhere now.
@@ -137,7 +147,7 @@
     cold_rates: BTreeMap<String, f64>,
     loads: Loads,
     peers: Peers,
-    homes: Homes,
+    parts: Parts,
     /// Since when the platform answers again, if it was away.
     returned: Option<Instant>,
 }
@@ -166,6 +176,7 @@
                 let changed = record.row != row || record.missing.is_some();
                 if restarted {
                     record.health = Health::default();
+                    self.parts.forget(name);
                 }
                 record.cold_until = cold_until;
                 record.missing = None;
@@ -222,9 +233,9 @@
         &mut self.peers
     }
 
-    /// Homes of prompts.
-    pub const fn homes(&mut self) -> &mut Homes {
-        &mut self.homes
+    /// Parts of prompts that targets hold.
+    pub const fn parts(&mut self) -> &mut Parts {
+        &mut self.parts
     }
 
     /// Requests of all routers in progress at a target.
@@ -281,7 +292,7 @@
 
     /// The targets that may take a request, the most preferred first.
     fn rank(
-        &mut self,
+        &self,
         now: Instant,
         request: &Request,
         course: &Course,
@@ -301,15 +312,12 @@
         let open = serving.into_iter().filter(|name| course.claim(name) != Claim::Barred);
         let candidates: Vec<Candidate<'_>> =
             open.map(|name| self.candidate(name, bound, now)).collect();
-        let mut width = 0;
-        let mut order: Vec<&str> = Vec::new();
-        let mut ranked: Vec<usize> = match &request.prompt {
-            Some(prompt) => {
-                let names = candidates.iter().map(|candidate| candidate.name);
-                order = self.homes.rank(now, prompt, names);
-                width = self.homes.width(now, prompt.root(), candidates.len());
-                placement::preferred(&candidates, &order)
-            }
+        let order = match &request.prompt {
+            Some(prompt) => Plain.rank(prompt.key(), &candidates),
+            None => Vec::new(),
+        };
+        let mut ranked = match &request.prompt {
+            Some(prompt) => Bounded.rank(prompt.key(), &candidates),
             None => Least.rank(request.key(), &candidates),
         };
         ranked.sort_by_key(|index| course.claim(candidates[*index].name));
@@ -318,12 +326,26 @@
             let record = &self.records[name];
             let (target, address) = (name.to_owned(), record.row.address);
             let standing = record.health.standing(now);
-            let place = order.iter().position(|other| *other == name).unwrap_or_default();
-            Choice { target, address, load, bound, standing, place, width }
+            let place = order.iter().position(|other| *other == index).unwrap_or_default();
+            let fetch = request.prompt.as_ref().and_then(|prompt| self.fetch(now, name, prompt));
+            Choice { target, address, load, bound, standing, place, fetch }
         };
         Ok(ranked.into_iter().map(choice).collect())
     }
 
+    /// Where a target can fetch parts of a prompt from.
+    fn fetch(&self, now: Instant, target: &str, prompt: &Prompt) -> Option<Fetch> {
+        let may_ask = |name: &str| {
+            let sound = |record: &Record| {
+                record.missing.is_none() && record.health.standing(now) == Standing::Good
+            };
+            name != target && self.records.get(name).is_some_and(sound)
+        };
+        let source = self.parts.source(target, prompt, may_ask)?;
+        let address = self.records.get(&source.target)?.row.address;
+        Some(Fetch { address, tokens: source.tokens })
+    }
+
     /// Load that each of some targets may reach, in requests.
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/cornelpass-core/src/lib.rs
+++ b/crates/cornelpass-core/src/lib.rs
@@ -24,7 +24,6 @@
 pub mod digest;
 pub mod events;
 pub mod fleet;
-pub mod homes;
 pub mod membership;
 pub mod peers;
 pub mod placement;
--- a/crates/cornelpass-core/src/placement.rs
+++ b/crates/cornelpass-core/src/placement.rs
@@ -118,16 +118,6 @@
     }
 }
 
-/// Indices of candidates in an order of their names, apart from those that are over their bound or
-/// held back, which come after the others as with [`Bounded`].
-#[must_use]
-pub fn preferred(candidates: &[Candidate<'_>], order: &[&str]) -> Vec<usize> {
-    let place = |name: &str| order.iter().position(|other| *other == name).unwrap_or(usize::MAX);
-    let mut ranked: Vec<usize> = (0..candidates.len()).collect();
-    ranked.sort_by_key(|index| (tier(&candidates[*index]), place(candidates[*index].name)));
-    ranked
-}
-
 /// Candidates within their bound come before those over it, and all of them before those held back.
 fn tier(candidate: &Candidate<'_>) -> u8 {
     u8::from(candidate.over()) + 2 * u8::from(candidate.held())
--- a/crates/cornelpass-core/src/request.rs
+++ b/crates/cornelpass-core/src/request.rs
@@ -90,6 +90,16 @@
         chain(&self.model, &self.parts[..self.parts.len().min(1)])
     }
 
+    /// For each part, the hash of it and all before it, and their length in tokens.
+    pub fn chain(&self) -> impl Iterator<Item = (u64, u32)> {
+        let start = (digest::key(&self.model), 0_u32);
+        self.parts.iter().scan(start, |(hash, tokens), part| {
+            *hash = digest::pair(*hash, &part.id.to_string());
+            *tokens = tokens.saturating_add(part.tokens);
+            Some((*hash, *tokens))
+        })
+    }
+
     /// Length of the shared parts, in tokens.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
--- a/crates/cornelpass-operator/src/settings/gateway.rs
+++ b/crates/cornelpass-operator/src/settings/gateway.rs
@@ -52,6 +52,8 @@
     pub load_multiple: f64,
     /// Time after which an event that a target made counts as passed on late.
     pub pass: Duration,
+    /// Time after its last use within which a part of a prompt is not to be read again.
+    pub reuse: Duration,
 }
 
 impl Default for Bounds {
@@ -69,6 +71,7 @@
             cold_slack: 5,
             load_multiple: 2.0,
             pass: Duration::from_millis(120),
+            reuse: Duration::from_secs(10),
         }
     }
 }
@@ -167,6 +170,7 @@
     let config = span("config", usual.config);
     let retry_window = span("retry_window", usual.retry_window);
     let pass = span("pass", usual.pass);
+    let reuse = span("reuse", usual.reuse);
     let mut number = |key, usual| section.number(key, 0.0, 1e6).unwrap_or(usual);
     let retry_ratio = number("retry_ratio", usual.retry_ratio);
     let retry_slack = number("retry_slack", f64::from(usual.retry_slack));
@@ -188,5 +192,6 @@
         cold_slack: whole(cold_slack),
         load_multiple,
         pass,
+        reuse,
     }
 }
--- a/crates/cornelpass-router/src/gateway/exchange.rs
+++ b/crates/cornelpass-router/src/gateway/exchange.rs
@@ -94,7 +94,7 @@
             Ok(Err(_)) => return Outcome::lost(Reason::TargetLost),
             Err(_) => return Outcome::lost(Reason::DeadlineExceeded),
         };
-        self.read(state, lease, response).await
+        self.read(state, &choice.target, lease, response).await
     }
 
     async fn open(&self, state: &State, choice: &Choice) -> Result<Lease, Error> {
@@ -123,12 +123,19 @@
             left: self.request.left(state.clock.now()),
             last_event: self.events.last().or(*last_event),
             weights: self.weights,
+            fetch: choice.fetch.as_ref().map(|fetch| fetch.address),
         };
         state.dialect.dress(message.headers_mut(), &order);
         Some(message)
     }
 
-    async fn read(&mut self, state: &State, lease: Lease, response: Response<Incoming>) -> Outcome {
+    async fn read(
+        &mut self,
+        state: &State,
+        target: &str,
+        lease: Lease,
+        response: Response<Incoming>,
+    ) -> Outcome {
         let (parts, body) = response.into_parts();
         let aside = state.dialect.aside(&parts.headers);
         let reading = state.dialect.read(&self.request.id, parts.status, &parts.headers);
@@ -149,6 +156,9 @@
             state.pool.keep(state.clock.now(), lease, idle(&aside));
             return Outcome::Refused(parts.status, Box::new(headers), body.to_bytes());
         }
+        if let Some(prompt) = &self.request.prompt {
+            state.fleet().parts().read(state.clock.now(), target, prompt);
+        }
         if self.request.form == Form::Events && success {
             self.weights = self.weights.or(weights);
             return self.stream(state, lease, &aside, parts.status, headers, body).await;
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -134,17 +134,10 @@
         bound = choice.bound,
         standing = %choice.standing,
         place = choice.place,
-        width = choice.width
+        fetch = choice.fetch.as_ref().map_or(0, |fetch| fetch.tokens)
     );
     let outcome = answer.attempt(state, &choice, patience(request, &progress.course, now)).await;
-    {
-        let mut fleet = state.fleet();
-        fleet.loads().ended(&choice.target);
-        if let Some(prompt) = &request.prompt {
-            let end = state.clock.now();
-            fleet.homes().worked(end, prompt.root(), end.saturating_duration_since(now));
-        }
-    }
+    state.fleet().loads().ended(&choice.target);
     ended(state, answer, progress, &choice.target, outcome).await
 }
 
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -92,7 +92,8 @@
     tokio::spawn(Server::over(answers, fixed, always).run(readiness));
 
     let (limits, limited) = watch::channel(limits(&plan::Limits::default(), settings.files));
-    tokio::spawn(look_after(Arc::clone(&state), limits, settings.files));
+    let reuse = settings.bounds.reuse;
+    tokio::spawn(look_after(Arc::clone(&state), limits, settings.files, reuse));
     let relay = Arc::new(Relay::new(Arc::clone(&state)));
     let gateway = Arc::new(Gateway::new(Arc::new(caller::Spelling), relay));
     let (stage, stages) = watch::channel(Stage::Serving);
@@ -152,12 +153,21 @@
 }
 
 /// Drops what has become old, and puts new limits into force.
-async fn look_after(state: Arc<State>, limited: watch::Sender<Limits>, files: usize) {
+async fn look_after(
+    state: Arc<State>,
+    limited: watch::Sender<Limits>,
+    files: usize,
+    reuse: Duration,
+) {
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
         let now = state.clock.now();
         state.pool.sweep(now);
-        state.fleet().forget(now, MEMORY);
+        {
+            let mut fleet = state.fleet();
+            fleet.forget(now, MEMORY);
+            fleet.parts().expire(now, reuse);
+        }
         if let Some(plan) = state.plan() {
             limited.send_replace(limits(&plan.limits, files));
         }
--- a/crates/cornelpass-target/src/dialect.rs
+++ b/crates/cornelpass-target/src/dialect.rs
@@ -1,5 +1,6 @@
 //! How a deployment spells what a router and a target tell each other in headers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cornelpass_core::request::Request;
@@ -19,6 +20,8 @@
     pub last_event: Option<u64>,
     /// Version of the weights that the answer has to continue with.
     pub weights: Option<u64>,
+    /// Target from which parts of the prompt can be fetched.
+    pub fetch: Option<SocketAddr>,
 }
 
 /// What a target says of its load.
