--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -21,10 +21,10 @@
 use self::load::Loads;
 use self::parts::Parts;
 use crate::course::{Claim, Course};
-use crate::peers::Peers;
+use crate::peers::{News, Peers};
 use crate::placement::{Bounded, Candidate, Least, Placement, Plain};
 use crate::refusal::Reason;
-use crate::report;
+use crate::report::{self, Report};
 use crate::request::{Prompt, Request};
 
 /// Time after the platform's return within which entries that lapsed meanwhile come back.
@@ -233,6 +233,14 @@
         &mut self.peers
     }
 
+    /// Takes another router's report.
+    pub fn told(&mut self, now: Instant, router: SocketAddr, report: Report) -> News {
+        for read in &report.reads {
+            self.parts.note(now, *read);
+        }
+        self.peers.take(now, router, report)
+    }
+
     /// Parts of prompts that targets hold.
     pub const fn parts(&mut self) -> &mut Parts {
         &mut self.parts
@@ -335,17 +343,19 @@
 
     /// Where a target can fetch parts of a prompt from.
     fn fetch(&self, now: Instant, target: &str, prompt: &Prompt) -> Option<Fetch> {
-        let may_ask = |name: &str| {
-            let sound = |record: &Record| {
-                record.missing.is_none() && record.health.standing(now) == Standing::Good
-            };
-            name != target && self.records.get(name).is_some_and(sound)
-        };
+        let may_ask = |other: u32| self.by_short(other).is_some_and(|record| {
+            record.missing.is_none() && record.health.standing(now) == Standing::Good
+        });
         let source = self.parts.source(target, prompt, may_ask)?;
-        let address = self.records.get(&source.target)?.row.address;
+        let address = self.by_short(source.target)?.row.address;
         Some(Fetch { address, tokens: source.tokens })
     }
 
+    fn by_short(&self, target: u32) -> Option<&Record> {
+        let mut records = self.records.iter();
+        records.find(|(name, _)| report::short(name) == target).map(|(_, record)| record)
+    }
+
     /// Load that each of some targets may reach, in requests.
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/cornelpass-core/src/fleet/parts.rs
+++ b/crates/cornelpass-core/src/fleet/parts.rs
@@ -1,12 +1,14 @@
 //! Which targets hold which parts of prompts, as far as this router has seen.
 //!
-//! A target keeps what it has read until other parts need the memory. When a prompt goes to a target
+//! Parts and targets go by short hashes, since routers tell each other what was read where. A target
+//! keeps what it has read until other parts need the memory. When a prompt goes to a target
 //! that has not read its shared parts, the target can fetch them from one that has, which takes a
 //! tenth of the time of reading them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::report::{Read, short};
 use crate::request::Prompt;
 
 /// Fewest tokens that are worth a fetch, which has a fixed cost as well.
@@ -15,33 +17,69 @@
 /// Most parts that are remembered.
 const MEMORY_LIMIT: usize = 8192;
 
+/// Time in which the same reading is not told again.
+const TELL_PERIOD: Duration = Duration::from_secs(3);
+
+/// Most readings that wait to be told.
+const TELL_LIMIT: usize = 256;
+
 /// Where a target can fetch parts of a prompt from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Source {
-    /// Name of the target that holds them.
-    pub target: String,
+    /// Short hash of the target that holds them.
+    pub target: u32,
     /// Tokens that need not be read again.
     pub tokens: u32,
 }
 
-/// Holders of parts, by the hash of a part and all before it.
+/// Holders of parts, by the short hash of a part and all before it.
 #[derive(Clone, Debug, Default)]
 pub struct Parts {
-    holders: BTreeMap<u64, BTreeMap<String, Instant>>,
+    holders: BTreeMap<u32, BTreeMap<u32, Instant>>,
+    /// When a reading was last told.
+    told: BTreeMap<Read, Instant>,
+    /// Readings to be told.
+    news: VecDeque<Read>,
+}
+
+/// Short hashes of the shared parts, and their length up to there in tokens.
+fn shared(prompt: &Prompt) -> impl Iterator<Item = (u32, u32)> {
+    let parts = prompt.shared().len();
+    prompt.chain().take(parts).map(|(hash, tokens)| ((hash >> 32) as u32, tokens))
 }
 
 impl Parts {
-    /// Notes that a target has read a prompt.
+    /// Notes that a target has read a prompt for this router.
     pub fn read(&mut self, now: Instant, target: &str, prompt: &Prompt) {
-        for (hash, _) in prompt.chain() {
-            self.holders.entry(hash).or_default().insert(target.to_owned(), now);
+        let target = short(target);
+        for (part, _) in shared(prompt) {
+            let read = Read { part, target };
+            self.note(now, read);
+            let told = self.told.get(&read);
+            let due = told.is_none_or(|at| now.saturating_duration_since(*at) > TELL_PERIOD);
+            if due && self.news.len() < TELL_LIMIT {
+                self.told.insert(read, now);
+                self.news.push_back(read);
+            }
         }
     }
 
+    /// Notes that a target has read a part for some router.
+    pub fn note(&mut self, now: Instant, read: Read) {
+        self.holders.entry(read.part).or_default().insert(read.target, now);
+    }
+
+    /// Takes readings to be told, at most a number of them.
+    pub fn news(&mut self, limit: usize) -> Vec<Read> {
+        let count = limit.min(self.news.len());
+        self.news.drain(..count).collect()
+    }
+
     /// Forgets what a target held.
     pub fn forget(&mut self, target: &str) {
+        let target = short(target);
         for targets in self.holders.values_mut() {
-            targets.remove(target);
+            targets.remove(&target);
         }
     }
 
@@ -51,6 +89,7 @@
             targets.retain(|_, at| now.saturating_duration_since(*at) <= lifetime);
             !targets.is_empty()
         });
+        self.told.retain(|_, at| now.saturating_duration_since(*at) <= TELL_PERIOD);
         while self.holders.len() > MEMORY_LIMIT {
             let oldest = self.holders.iter().min_by_key(|(_, targets)| targets.values().max());
             let Some(hash) = oldest.map(|(hash, _)| *hash) else { break };
@@ -64,20 +103,21 @@
         &self,
         target: &str,
         prompt: &Prompt,
-        may_ask: impl Fn(&str) -> bool,
+        may_ask: impl Fn(u32) -> bool,
     ) -> Option<Source> {
+        let target = short(target);
         let mut best = None;
         let mut held = 0;
-        for (hash, tokens) in prompt.chain() {
-            let Some(targets) = self.holders.get(&hash) else { break };
-            if targets.contains_key(target) {
+        for (part, tokens) in shared(prompt) {
+            let Some(targets) = self.holders.get(&part) else { break };
+            if targets.contains_key(&target) {
                 (held, best) = (tokens, None);
                 continue;
             }
-            let mut others = targets.iter().filter(|(name, _)| may_ask(name));
-            let Some((name, _)) = others.next() else { continue };
+            let mut others = targets.keys().filter(|other| may_ask(**other));
+            let Some(other) = others.next() else { continue };
             let saved = tokens - held;
-            best = (saved >= LEAST_FETCH).then(|| Source { target: name.clone(), tokens: saved });
+            best = (saved >= LEAST_FETCH).then_some(Source { target: *other, tokens: saved });
         }
         best
     }
--- a/crates/cornelpass-core/src/report.rs
+++ b/crates/cornelpass-core/src/report.rs
@@ -31,6 +31,32 @@
     (digest::key(target) >> 32) as u32
 }
 
+/// A target has read a part of a prompt.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Read {
+    /// Short hash of the part and all before it.
+    pub part: u32,
+    /// Short hash of the target.
+    pub target: u32,
+}
+
+/// Most readings in one report to a number of other routers.
+///
+/// Readings save work and are not needed for any bound, so that they take a smaller part of what may
+/// be sent, the more routers there are.
+#[must_use]
+pub fn read_limit(others: usize) -> usize {
+    READS_TOLD / others.max(LEAST_OTHERS)
+}
+
+/// Readings that one router sends in each period, to all others together.
+const READS_TOLD: usize = 96;
+
+/// Fewest routers for which these are divided.
+const LEAST_OTHERS: usize = 4;
+
 /// A report of one router.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -48,6 +74,8 @@
     pub suspects: Vec<(u32, u8)>,
     /// Contents suspected of crashing targets; one stands once for each strike.
     pub contents: Vec<u64>,
+    /// Parts of prompts that targets have read since the last report.
+    pub reads: Vec<Read>,
 }
 
 /// Time between two reports of a length in bytes, to a number of other routers.
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -78,7 +78,7 @@
 fn take(state: &State, address: SocketAddr, report: Report) {
     let now = state.clock.now();
     let version = report.version;
-    let news = state.fleet().peers().take(now, address, report);
+    let news = state.fleet().told(now, address, report);
     match news {
         News::Joined => log!(Code::PeerJoined, router = %address, version),
         News::Returned => log!(Code::PeerReturned, router = %address, version),
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -7,7 +7,7 @@
 use cornelpass_core::clock::Clock;
 use cornelpass_core::fleet::{self, Fleet};
 use cornelpass_core::plan::Plan;
-use cornelpass_core::report::Report;
+use cornelpass_core::report::{self, Report};
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use cornelpass_operator::metrics::Metrics;
@@ -114,8 +114,11 @@
     pub fn report(&self, incarnation: u32, sequence: u32) -> Report {
         let version = self.plan().map_or(0, |plan| plan.version);
         let leaving = self.draining.load(Ordering::SeqCst);
-        let loads = self.fleet().loads().list();
-        Report { incarnation, sequence, version, leaving, loads, ..Report::default() }
+        let mut fleet = self.fleet();
+        let loads = fleet.loads().list();
+        let others = fleet.peers().addresses().count();
+        let reads = fleet.parts().news(report::read_limit(others));
+        Report { incarnation, sequence, version, leaving, loads, reads, ..Report::default() }
     }
 
     /// The retry budgets.
