feat(core): keep prompts where their parts are held

Cause: an engine that is added wins a share of all hashes, and one that leaves spreads its parts over all data centres, where a fetch counts twice. Prompts now stay at an engine that holds their parts, move inside its data centre while they can be fetched there, and follow the hash otherwise.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -22,7 +22,7 @@
 use self::parts::Parts;
 use crate::course::{Claim, Course};
 use crate::peers::{News, Peers};
-use crate::placement::{Bounded, Candidate, Least, Placement, Plain};
+use crate::placement::{Candidate, Least, Placement, Plain};
 use crate::refusal::Reason;
 use crate::report::{self, Report};
 use crate::request::{Prompt, Request};
@@ -97,6 +97,13 @@
     gate: Gate,
 }
 
+impl Record {
+    /// Whether the target is listed, leaving or not, and nothing speaks against it.
+    fn is_sound(&self, now: Instant) -> bool {
+        self.missing.is_none() && self.health.standing(now) == Standing::Good
+    }
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -134,6 +141,35 @@
     pub wait: Duration,
 }
 
+/// Targets that hold the shared parts of a prompt.
+struct Holding<'a> {
+    targets: BTreeSet<u32>,
+    /// Data centres that they are in.
+    data_centres: BTreeSet<&'a str>,
+}
+
+/// How near a target is to the shared parts of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Nearness {
+    /// It holds them.
+    Holds,
+    /// Another sound target in its data centre holds them.
+    Near,
+    /// They are farther away, or nowhere.
+    Far,
+}
+
+impl Holding<'_> {
+    fn nearness(&self, fleet: &Fleet, name: &str) -> Nearness {
+        if self.targets.contains(&report::short(name)) {
+            return Nearness::Holds;
+        }
+        let data_centre = fleet.records.get(name).map(|record| record.row.data_centre.as_str());
+        let near = data_centre.is_some_and(|name| self.data_centres.contains(name));
+        if near { Nearness::Near } else { Nearness::Far }
+    }
+}
+
 /// Time after which a refused request may find room, where nothing says when.
 const ROOM_WAIT: Duration = Duration::from_millis(200);
 
@@ -325,7 +361,13 @@
             None => Vec::new(),
         };
         let mut ranked = match &request.prompt {
-            Some(prompt) => Bounded.rank(prompt.key(), &candidates),
+            Some(prompt) => {
+                let holding = self.holding(now, prompt);
+                let near = |index: &usize| holding.nearness(self, candidates[*index].name);
+                let mut ranked = Plain.rank(prompt.key(), &candidates);
+                ranked.sort_by_key(|index| (candidates[*index].tier(), near(index)));
+                ranked
+            }
             None => Least.rank(request.key(), &candidates),
         };
         ranked.sort_by_key(|index| course.claim(candidates[*index].name));
@@ -343,14 +385,24 @@
 
     /// Where a target can fetch parts of a prompt from.
     fn fetch(&self, now: Instant, target: &str, prompt: &Prompt) -> Option<Fetch> {
-        let may_ask = |other: u32| self.by_short(other).is_some_and(|record| {
-            record.missing.is_none() && record.health.standing(now) == Standing::Good
-        });
-        let source = self.parts.source(target, prompt, may_ask)?;
+        let may_ask = |other: u32| self.by_short(other).is_some_and(|record| record.is_sound(now));
+        let data_centre = &self.records.get(target)?.row.data_centre;
+        let near = |other: u32| {
+            self.by_short(other).is_some_and(|record| record.row.data_centre == *data_centre)
+        };
+        let source = self.parts.source(target, prompt, may_ask, near)?;
         let address = self.by_short(source.target)?.row.address;
         Some(Fetch { address, tokens: source.tokens })
     }
 
+    fn holding(&self, now: Instant, prompt: &Prompt) -> Holding<'_> {
+        let targets: BTreeSet<u32> = self.parts.holders(prompt).collect();
+        let records = targets.iter().filter_map(|target| self.by_short(*target));
+        let records = records.filter(|record| record.is_sound(now));
+        let data_centres = records.map(|record| record.row.data_centre.as_str()).collect();
+        Holding { targets, data_centres }
+    }
+
     fn by_short(&self, target: u32) -> Option<&Record> {
         let mut records = self.records.iter();
         records.find(|(name, _)| report::short(name) == target).map(|(_, record)| record)
--- a/crates/cornelpass-core/src/fleet/parts.rs
+++ b/crates/cornelpass-core/src/fleet/parts.rs
@@ -97,13 +97,22 @@
         }
     }
 
-    /// Who holds more of a prompt than a target, of those that may be asked.
+    /// Targets that hold all shared parts of a prompt.
+    pub fn holders(&self, prompt: &Prompt) -> impl Iterator<Item = u32> {
+        let last = shared(prompt).last();
+        let targets = last.and_then(|(part, _)| self.holders.get(&part));
+        targets.into_iter().flat_map(|targets| targets.keys().copied())
+    }
+
+    /// Who holds more of a prompt than a target, of those that may be asked; the first of those that
+    /// are preferred, else the first one.
     #[must_use]
     pub fn source(
         &self,
         target: &str,
         prompt: &Prompt,
         may_ask: impl Fn(u32) -> bool,
+        preferred: impl Fn(u32) -> bool,
     ) -> Option<Source> {
         let target = short(target);
         let mut best = None;
@@ -114,8 +123,9 @@
                 (held, best) = (tokens, None);
                 continue;
             }
-            let mut others = targets.keys().filter(|other| may_ask(**other));
-            let Some(other) = others.next() else { continue };
+            let others = || targets.keys().filter(|other| may_ask(**other));
+            let near = others().find(|other| preferred(**other));
+            let Some(other) = near.or_else(|| others().next()) else { continue };
             let saved = tokens - held;
             best = (saved >= LEAST_FETCH).then_some(Source { target: *other, tokens: saved });
         }
--- a/crates/cornelpass-core/src/placement.rs
+++ b/crates/cornelpass-core/src/placement.rs
@@ -53,6 +53,12 @@
         self.ramp <= 0.0
     }
 
+    /// Candidates within their bound come before those over it, and those held back come last.
+    #[must_use]
+    pub fn tier(&self) -> u8 {
+        u8::from(self.over()) + 2 * u8::from(self.held())
+    }
+
     /// Weight that counts now.
     fn capacity(&self) -> f64 {
         f64::from(self.weight) * if self.held() { 1.0 } else { self.ramp }
@@ -114,15 +120,10 @@
 
 impl Placement for Bounded {
     fn rank(&self, key: u64, candidates: &[Candidate<'_>]) -> Vec<usize> {
-        sorted(candidates, |candidate| (tier(candidate), -score(key, candidate)))
+        sorted(candidates, |candidate| (candidate.tier(), -score(key, candidate)))
     }
 }
 
-/// Candidates within their bound come before those over it, and all of them before those held back.
-fn tier(candidate: &Candidate<'_>) -> u8 {
-    u8::from(candidate.over()) + 2 * u8::from(candidate.held())
-}
-
 /// Weighted rendezvous hashing without a bound.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Plain;
