feat(router): let requests wait for the first configuration

A request now waits for a quarter of its caller's time, and is then told to come back after a third of the rest. Ruled out: asking other routers, none is left.

--- a/crates/cornelpass-caller/src/gateway.rs
+++ b/crates/cornelpass-caller/src/gateway.rs
@@ -37,6 +37,9 @@
 /// Time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which a caller waits that does not say so.
+const USUAL_WAIT: Duration = Duration::from_secs(1);
+
 /// What the head of a request says, in the project's terms.
 #[derive(Clone, Debug, Default)]
 pub struct Ask {
@@ -98,16 +101,20 @@
 }
 
 /// Brings requests to targets.
+#[async_trait]
 pub trait Relay: Send + Sync + 'static {
     /// Time.
     fn now(&self) -> Instant;
 
-    /// The configuration in force.
+    /// The configuration in force, for which a request of a caller that waits for a time can wait.
     ///
     /// # Errors
     ///
-    /// If there is none yet.
-    fn plan(&self) -> Result<Arc<Plan>, Problem>;
+    /// If there is still none.
+    async fn plan(&self, wait: Duration) -> Result<Arc<Plan>, Problem>;
+
+    /// Limits on what callers may send.
+    fn limits(&self) -> Limits;
 
     /// Starts a request; dropping the receiver cancels it.
     fn run(&self, request: request::Request, message: Message) -> Receiver<Piece>;
@@ -139,10 +146,10 @@
         let (parts, body) = request.into_parts();
         let read = self.codec.read(&parts.headers);
         // The body is read before any refusal, so that the connection can be used again.
-        let limit = self.relay.plan().map_or_else(|_| Limits::default(), |plan| plan.limits);
-        let body = self.room.read(body, limit.body_bytes, BODY_TIMEOUT).await?;
+        let limit = self.relay.limits().body_bytes;
+        let body = self.room.read(body, limit, BODY_TIMEOUT).await?;
         *ask = read?;
-        let plan = self.relay.plan()?;
+        let plan = self.relay.plan(ask.wait.unwrap_or(USUAL_WAIT)).await?;
         let route = find(&plan, &parts.headers, parts.uri.path())?;
         let organisation = organisation(&plan, &route, ask.key.as_deref())?;
         let wait = ask.wait.map_or(route.timeout, |wait| wait.min(route.timeout));
--- a/crates/cornelpass-router/src/gateway/follow.rs
+++ b/crates/cornelpass-router/src/gateway/follow.rs
@@ -28,6 +28,9 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// The same while there is no configuration, for which callers wait.
+const START_PAUSE: Duration = Duration::from_millis(80);
+
 /// Pause between two calls for changes of targets, whose entries change all the time.
 const TARGETS_PAUSE: Duration = Duration::from_millis(500);
 
@@ -63,7 +66,7 @@
             Ok((Changes::Lost, _)) | Err(_) => known.revision = None,
         }
         if failed {
-            sleep(RETRY_PAUSE).await;
+            sleep(if state.plan().is_some() { RETRY_PAUSE } else { START_PAUSE }).await;
         } else if topic == Topic::Targets {
             sleep(TARGETS_PAUSE).await;
         }
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use cornelpass_caller::gateway::{self, Message, Piece};
 use cornelpass_caller::problem::Problem;
 use cornelpass_core::course::{Course, Ended, Next, Terms};
 use cornelpass_core::events::Events;
 use cornelpass_core::fleet::health::Health;
-use cornelpass_core::plan::Plan;
+use cornelpass_core::plan::{Limits, Plan};
 use cornelpass_core::refusal::{Reason, Run};
 use cornelpass_core::request::Request;
 use cornelpass_operator::event::Code;
@@ -17,6 +18,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::time::timeout;
 
 use super::exchange::{Answer, Outcome};
 use super::state::State;
@@ -27,8 +29,11 @@
 /// Part of the wanted latency after which a silent target is given up for another one.
 const SWITCH_PART: f64 = 0.8;
 
-/// Time after which a caller is asked to come back when there is no configuration yet.
-const CONFIG_WAIT: Duration = Duration::from_millis(300);
+/// Part of a caller's time for which its request waits for the first configuration.
+const HOLD_PART: f64 = 0.25;
+
+/// Part of the rest after which it is asked to come back: callers heed no more than a third.
+const RETURN_PART: f64 = 0.33;
 
 /// Shortest time after which a caller is asked to come back.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -46,15 +51,27 @@
     }
 }
 
+#[async_trait]
 impl gateway::Relay for Relay {
     fn now(&self) -> Instant {
         self.state.clock.now()
     }
 
-    fn plan(&self) -> Result<Arc<Plan>, Problem> {
-        self.state
-            .plan()
-            .ok_or_else(|| Problem::refused(Reason::NotReady).retry_after(Some(CONFIG_WAIT)))
+    async fn plan(&self, wait: Duration) -> Result<Arc<Plan>, Problem> {
+        if let Some(plan) = self.state.plan() {
+            return Ok(plan);
+        }
+        let hold = wait.mul_f64(HOLD_PART);
+        if let Ok(plan) = timeout(hold, self.state.configured()).await {
+            return Ok(plan);
+        }
+        // A fresh router of a fleet that was lost as a whole: the platform may be back at any time.
+        let rest = wait.saturating_sub(hold).mul_f64(RETURN_PART);
+        Err(Problem::refused(Reason::NotReady).retry_after(Some(rest)))
+    }
+
+    fn limits(&self) -> Limits {
+        self.state.plan().map_or_else(Limits::default, |plan| plan.limits)
     }
 
     fn run(&self, request: Request, message: Message) -> Receiver<Piece> {
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use cornelpass_operator::settings::gateway::Gateway;
 use cornelpass_target::dialect::Dialect;
 use cornelpass_target::pool::Pool;
+use tokio::sync::watch;
 
 /// State of a gateway.
 pub struct State {
@@ -27,7 +28,7 @@
     pub dialect: Arc<dyn Dialect>,
     /// Kept connections to targets.
     pub pool: Pool,
-    plan: Mutex<Option<Arc<Plan>>>,
+    plan: watch::Sender<Option<Arc<Plan>>>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<Budgets>,
     draining: AtomicBool,
@@ -77,7 +78,7 @@
             metrics,
             dialect,
             pool: Pool::new(),
-            plan: Mutex::new(None),
+            plan: watch::Sender::new(None),
             fleet: Mutex::new(fleet),
             budgets: Mutex::new(Budgets::new(terms)),
             draining: AtomicBool::new(false),
@@ -88,20 +89,32 @@
     /// The configuration in force, if there is one.
     #[must_use]
     pub fn plan(&self) -> Option<Arc<Plan>> {
-        lock(&self.plan).clone()
+        self.plan.borrow().clone()
+    }
+
+    /// Returns when there is a configuration.
+    pub async fn configured(&self) -> Arc<Plan> {
+        let mut plans = self.plan.subscribe();
+        loop {
+            if let Some(plan) = plans.borrow_and_update().clone() {
+                return plan;
+            }
+            // The sender lives as long as this state.
+            let _ = plans.changed().await;
+        }
     }
 
     /// Takes a configuration if it is higher than the one in force.
     pub fn offer(&self, plan: Plan) {
-        let mut held = lock(&self.plan);
-        if held.as_ref().is_some_and(|held| held.version >= plan.version) {
+        let version = plan.version;
+        if self.plan().is_some_and(|held| held.version >= version) {
             return;
         }
         let rates = plan.services.iter().map(|(name, service)| (name.clone(), service.cold_rate));
         self.fleet().configure(rates.collect());
-        self.metrics.version(plan.version);
-        log!(Code::ConfigApplied, version = plan.version);
-        *held = Some(Arc::new(plan));
+        self.plan.send_replace(Some(Arc::new(plan)));
+        self.metrics.version(version);
+        log!(Code::ConfigApplied, version);
     }
 
     /// The targets.
