feat(core): judge targets by failures over time, and tell them to the other routers

Cause: one lost answer made an engine suspect for half a second, so that engines that lose a part of their answers were left and tried again in turn, and their prompts read again elsewhere. Failures now count over 4 s and over all routers; an engine that cannot be reached, or is silent while requests wait, is left at once.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::cold::Gate;
-use self::health::{Health, Standing};
+use self::health::{Health, Outcome, Standing};
 use self::load::Loads;
 use self::parts::Parts;
 use crate::course::{Claim, Course};
@@ -25,7 +25,7 @@
 use crate::placement::{Candidate, Least, Placement, Plain};
 use crate::refusal::Reason;
 use crate::report::{self, Report};
-use crate::request::{Prompt, Request};
+use crate::request::{Prompt, Repeat, Request};
 
 /// Time after the platform's return within which entries that lapsed meanwhile come back.
 ///
@@ -260,8 +260,9 @@
     }
 
     /// Work of this router in progress, by target.
-    pub const fn loads(&mut self) -> &mut Loads {
-        &mut self.loads
+    #[must_use]
+    pub const fn loads(&self) -> &Loads {
+        &self.loads
     }
 
     /// The other routers.
@@ -274,7 +275,59 @@
         for read in &report.reads {
             self.parts.note(now, *read);
         }
-        self.peers.take(now, router, report)
+        let news = self.peers.take(now, router, report);
+        for (name, record) in &mut self.records {
+            record.health.told(now, self.peers.failures(now, report::short(name)));
+        }
+        news
+    }
+
+    /// Failures of this router's requests, as they are told.
+    #[must_use]
+    pub fn failures(&self, now: Instant) -> Vec<(u32, u8, u8)> {
+        let byte = |number: u32| u8::try_from(number).unwrap_or(u8::MAX);
+        let counts = self.records.iter().map(|(name, record)| (name, record.health.count(now)));
+        let failed = counts.filter(|(_, count)| count.failed > 0);
+        failed
+            .map(|(name, count)| (report::short(name), byte(count.failed), byte(count.ended)))
+            .take(report::LIST_LIMIT)
+            .collect()
+    }
+
+    /// A request is on its way to a target.
+    pub fn sent(&mut self, now: Instant, target: &str) {
+        self.loads.sent(target);
+        if let Some(record) = self.records.get_mut(target) {
+            record.health.sent(now);
+        }
+    }
+
+    /// A sign came from a target.
+    pub fn sign(&mut self, now: Instant, target: &str) {
+        if let Some(record) = self.records.get_mut(target) {
+            record.health.sign(now);
+        }
+    }
+
+    /// A request has ended at a target; without an outcome if its caller has left.
+    ///
+    /// Returns how the target stood before and stands now.
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        target: &str,
+        outcome: Option<Outcome>,
+    ) -> (Standing, Standing) {
+        self.loads.ended(target);
+        let Some(record) = self.records.get_mut(target) else {
+            return (Standing::Good, Standing::Good);
+        };
+        let before = record.health.standing(now);
+        match outcome {
+            Some(outcome) => record.health.ended(now, outcome),
+            None => record.health.dropped(),
+        }
+        (before, record.health.standing(now))
     }
 
     /// Parts of prompts that targets hold.
@@ -288,11 +341,6 @@
         self.loads.of(target) + self.peers.load(now, report::short(target))
     }
 
-    /// Health of a target.
-    pub fn health(&mut self, target: &str) -> Option<&mut Health> {
-        self.records.get_mut(target).map(|record| &mut record.health)
-    }
-
     /// Address of a target.
     #[must_use]
     pub fn address(&self, target: &str) -> Option<SocketAddr> {
@@ -365,12 +413,16 @@
                 let holding = self.holding(now, prompt);
                 let near = |index: &usize| holding.nearness(self, candidates[*index].name);
                 let mut ranked = Plain.rank(prompt.key(), &candidates);
-                ranked.sort_by_key(|index| (candidates[*index].tier(), near(index)));
+                ranked.sort_by_key(near);
                 ranked
             }
             None => Least.rank(request.key(), &candidates),
         };
-        ranked.sort_by_key(|index| course.claim(candidates[*index].name));
+        let over = |index: &usize| candidates[*index].over();
+        ranked.sort_by_key(|index| {
+            let name = candidates[*index].name;
+            (course.claim(name), self.doubt(now, name, request.repeat), over(index))
+        });
         let choice = |index: usize| {
             let Candidate { name, load, .. } = candidates[index];
             let record = &self.records[name];
@@ -383,6 +435,17 @@
         Ok(ranked.into_iter().map(choice).collect())
     }
 
+    /// How much speaks against sending a request to a target.
+    ///
+    /// A target that is to be tried gets a request that may be repeated as if it were sound.
+    fn doubt(&self, now: Instant, name: &str, repeat: Repeat) -> Standing {
+        match self.records[name].health.standing(now) {
+            Standing::Trial if repeat.allowed() => Standing::Good,
+            Standing::Trial => Standing::Failing,
+            standing => standing,
+        }
+    }
+
     /// Where a target can fetch parts of a prompt from.
     fn fetch(&self, now: Instant, target: &str, prompt: &Prompt) -> Option<Fetch> {
         let may_ask = |other: u32| self.by_short(other).is_some_and(|record| record.is_sound(now));
@@ -421,11 +484,7 @@
     }
 
     fn candidate<'a>(&self, name: &'a str, bound: u32, now: Instant) -> Candidate<'a> {
-        let record = &self.records[name];
-        let load = self.load(name, now);
-        let held = record.health.standing(now) != Standing::Good;
-        let candidate = Candidate::new(name, 1).load(load, bound);
-        if held { candidate.ramp(0.0) } else { candidate }
+        Candidate::new(name, 1).load(self.load(name, now), bound)
     }
 
     fn takes_work(&self, record: &Record, now: Instant) -> bool {
--- a/crates/cornelpass-core/src/fleet/health.rs
+++ b/crates/cornelpass-core/src/fleet/health.rs
@@ -1,17 +1,42 @@
-//! Health of a target by the router's own evidence.
+//! Health of a target by what became of the requests that were sent to it.
 //!
-//! Neither a health check nor the platform's list shows soon enough that a target is dark, silent
-//! or failing. What counts is what became of the requests that were sent: a connection that does
-//! not open or an answer that does not come makes a target suspect at once, and it is tried again
-//! with single requests.
+//! Neither a health check nor the platform's list shows soon enough that a target is dark, silent or
+//! failing. Two kinds of evidence count. A target that can not be reached, or gives no sign while
+//! requests wait, is left alone at once, and for longer each time. One that loses or fails a part of
+//! its requests is avoided while others are better, since its share of failures is an estimate that
+//! needs some requests. Both are tried again with single requests, best with such as may be repeated.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Time for which a target is left alone after the first failure.
-const FIRST_HOLD: Duration = Duration::from_millis(500);
+/// Time for which a target is left alone after it could not be reached.
+pub const FIRST_HOLD: Duration = Duration::from_millis(500);
 
-/// Longest time for which it is left alone.
-const MAX_HOLD: Duration = Duration::from_secs(4);
+/// Longest time for which a target is left alone or avoided.
+pub const MAX_HOLD: Duration = Duration::from_secs(8);
+
+/// Time without any sign of a target, while a request waits, after which it counts as silent.
+///
+/// An engine that reads a long prompt for a single request may say nothing for half a second.
+pub const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Time over which failures are counted.
+pub const WINDOW: Duration = Duration::from_secs(4);
+
+/// Failures within it that make a target failing.
+pub const LEAST_FAILURES: u32 = 3;
+
+/// Share of failed requests from which a target counts as failing.
+pub const FAILING_SHARE: f64 = 0.15;
+
+/// Time for which a failing target is avoided after its last failure.
+const FIRST_AVOID: Duration = Duration::from_secs(3);
+
+/// Good answers after which earlier holds are forgotten.
+const FORGIVE_ANSWERS: u32 = 8;
+
+/// Most outcomes that are kept.
+const OUTCOMES: usize = 64;
 
 /// How a target stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
@@ -19,41 +44,203 @@
 pub enum Standing {
     /// Nothing speaks against it.
     Good,
-    /// It failed a while ago, and may be tried with one request.
+    /// It was avoided or left alone, and may be tried with one request.
     Trial,
-    /// It failed a moment ago.
-    Suspect,
+    /// It fails a part of its requests.
+    Failing,
+    /// It could not be reached, or gives no sign.
+    Away,
+}
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Outcome {
+    /// The target answered.
+    Answered,
+    /// The target answered with a failure, broke off, or gave something that is no answer.
+    Failed,
+    /// No connection could be opened.
+    Unreachable,
+    /// It gave no sign in time.
+    Silent,
+}
+
+/// Failures within the window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Requests that failed.
+    pub failed: u32,
+    /// Requests that ended.
+    pub ended: u32,
+}
+
+impl Count {
+    /// Sum of two counts.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self { failed: self.failed + other.failed, ended: self.ended + other.ended }
+    }
+
+    fn is_failing(self) -> bool {
+        let share = f64::from(self.failed) / f64::from(self.ended.max(1));
+        self.failed >= LEAST_FAILURES && share >= FAILING_SHARE
+    }
+}
+
+/// A time for which a target gets nothing, or nothing that can go elsewhere.
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    standing: Standing,
+    until: Instant,
 }
 
 /// Evidence on one target.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    failed: Option<Instant>,
-    failures: u32,
+    outcomes: VecDeque<(Instant, bool)>,
+    /// What the other routers count.
+    told: Count,
+    hold: Option<Hold>,
+    /// Holds in a row.
+    holds: u32,
+    /// Good answers since the last hold.
+    good: u32,
+    /// Since when a trial is on its way.
+    trial: Option<Instant>,
+    /// Requests that wait for a sign.
+    waiting: u32,
+    /// When the last one of these began to wait with no other.
+    since: Option<Instant>,
+    heard: Option<Instant>,
 }
 
 impl Health {
     /// How the target stands.
     #[must_use]
     pub fn standing(&self, now: Instant) -> Standing {
-        let Some(failed) = self.failed else { return Standing::Good };
-        let hold = FIRST_HOLD.saturating_mul(1 << self.failures.saturating_sub(1).min(8));
-        if now.saturating_duration_since(failed) < hold.min(MAX_HOLD) {
-            Standing::Suspect
-        } else {
-            Standing::Trial
+        if self.is_silent(now) {
+            return Standing::Away;
+        }
+        match self.hold {
+            None => Standing::Good,
+            Some(hold) if now < hold.until => hold.standing,
+            Some(hold) if self.is_tried(now) => hold.standing,
+            Some(_) => Standing::Trial,
+        }
+    }
+
+    /// When the target was last heard.
+    #[must_use]
+    pub const fn heard(&self) -> Option<Instant> {
+        self.heard
+    }
+
+    /// A request is on its way to the target.
+    pub fn sent(&mut self, now: Instant) {
+        if self.standing(now) == Standing::Trial {
+            self.trial = Some(now);
+        }
+        if self.waiting == 0 {
+            self.since = Some(now);
+        }
+        self.waiting += 1;
+    }
+
+    /// Any sign came from the target.
+    pub fn sign(&mut self, now: Instant) {
+        self.heard = Some(now);
+    }
+
+    /// A request has ended.
+    pub fn ended(&mut self, now: Instant, outcome: Outcome) {
+        self.waiting = self.waiting.saturating_sub(1);
+        match outcome {
+            Outcome::Answered => self.answered(now),
+            Outcome::Failed => self.failed(now),
+            Outcome::Unreachable | Outcome::Silent => self.hold(now, Standing::Away, FIRST_HOLD),
+        }
+    }
+
+    /// A request was given up by its caller, which says nothing of the target.
+    pub const fn dropped(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Takes what the other routers count.
+    pub fn told(&mut self, now: Instant, count: Count) {
+        self.told = count;
+        self.judge(now);
+    }
+
+    /// Failures of this router's requests within the window.
+    #[must_use]
+    pub fn count(&self, now: Instant) -> Count {
+        let recent = |(at, _): &&(Instant, bool)| now.saturating_duration_since(*at) <= WINDOW;
+        let recent = self.outcomes.iter().filter(recent);
+        recent.fold(Count::default(), |count, (_, failed)| Count {
+            failed: count.failed + u32::from(*failed),
+            ended: count.ended + 1,
+        })
+    }
+
+    fn answered(&mut self, now: Instant) {
+        self.heard = Some(now);
+        self.note(now, false);
+        let over = self.hold.is_some_and(|hold| now >= hold.until);
+        if over || self.hold.is_some_and(|hold| hold.standing == Standing::Away) {
+            self.hold = None;
+            self.trial = None;
+        }
+        self.good += 1;
+        if self.good >= FORGIVE_ANSWERS {
+            self.holds = 0;
+        }
+    }
+
+    fn failed(&mut self, now: Instant) {
+        self.note(now, true);
+        if self.hold.is_some_and(|hold| now >= hold.until) {
+            // The trial failed.
+            self.hold(now, Standing::Failing, FIRST_AVOID);
+            return;
+        }
+        self.judge(now);
+    }
+
+    fn note(&mut self, now: Instant, failed: bool) {
+        self.outcomes.push_back((now, failed));
+        let surplus = self.outcomes.len().saturating_sub(OUTCOMES);
+        self.outcomes.drain(..surplus);
+    }
+
+    /// Avoids the target if it fails too many requests.
+    fn judge(&mut self, now: Instant) {
+        if self.hold.is_none() && self.count(now).plus(self.told).is_failing() {
+            self.hold(now, Standing::Failing, FIRST_AVOID);
+        }
+    }
+
+    fn hold(&mut self, now: Instant, standing: Standing, first: Duration) {
+        let held = self.hold.is_some_and(|hold| now < hold.until && hold.standing >= standing);
+        if held {
+            return;
         }
+        let time = first.saturating_mul(1 << self.holds.min(4)).min(MAX_HOLD);
+        self.hold = Some(Hold { standing, until: now + time });
+        self.holds += 1;
+        self.good = 0;
+        self.trial = None;
     }
 
-    /// A request failed there.
-    pub fn failed(&mut self, now: Instant) {
-        self.failed = Some(now);
-        self.failures = self.failures.saturating_add(1);
+    fn is_tried(&self, now: Instant) -> bool {
+        self.trial.is_some_and(|at| now.saturating_duration_since(at) < SILENCE)
     }
 
-    /// A request was answered there.
-    pub fn answered(&mut self) {
-        self.failed = None;
-        self.failures = 0;
+    /// Whether requests wait and nothing was heard for too long.
+    fn is_silent(&self, now: Instant) -> bool {
+        let since = self.since.max(self.heard);
+        self.waiting > 0
+            && since.is_some_and(|at| now.saturating_duration_since(at) > SILENCE)
     }
 }
--- a/crates/cornelpass-core/src/peers.rs
+++ b/crates/cornelpass-core/src/peers.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::fleet::health::Count;
 use crate::report::{self, Report};
 
 /// Time for which what a router told counts, in its periods.
@@ -129,6 +130,19 @@
         })
     }
 
+    /// Failures at a target, of all the others.
+    #[must_use]
+    pub fn failures(&self, now: Instant, target: u32) -> Count {
+        let of = |report: &Report| {
+            let found = report.failures.iter().find(|(name, ..)| *name == target);
+            found.map_or(Count::default(), |(_, failed, ended)| Count {
+                failed: u32::from(*failed),
+                ended: u32::from(*ended),
+            })
+        };
+        self.reports(now).map(of).fold(Count::default(), Count::plus)
+    }
+
     /// Requests in progress at a target, of all the others.
     #[must_use]
     pub fn load(&self, now: Instant, target: u32) -> u32 {
--- a/crates/cornelpass-core/src/report.rs
+++ b/crates/cornelpass-core/src/report.rs
@@ -70,8 +70,8 @@
     pub leaving: bool,
     /// Requests in progress, by target.
     pub loads: Vec<(u32, u16)>,
-    /// Targets that failed a moment ago, and how long ago, in units of 10 ms.
-    pub suspects: Vec<(u32, u8)>,
+    /// Targets that have failed requests within the window, with failures and requests.
+    pub failures: Vec<(u32, u8, u8)>,
     /// Contents suspected of crashing targets; one stands once for each strike.
     pub contents: Vec<u64>,
     /// Parts of prompts that targets have read since the last report.
--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -77,6 +77,8 @@
     TargetLost = 501,
     /// A content is suspected of crashing targets.
     Suspected = 502,
+    /// The router's belief in a target's health has changed.
+    TargetStanding = 503,
     /// The outcome of a call could not be recorded yet.
     ClaimPending = 600,
     /// A call's outcome is unknown.
--- a/crates/cornelpass-router/src/gateway/exchange.rs
+++ b/crates/cornelpass-router/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 use cornelpass_caller::gateway::{Message, Piece};
 use cornelpass_core::events::Events;
 use cornelpass_core::fleet::Choice;
+use cornelpass_core::fleet::health;
 use cornelpass_core::refusal::{Reason, Run};
 use cornelpass_core::request::{Form, Repeat, Request};
 use cornelpass_target::dialect::{Aside, Order, Reading};
@@ -54,6 +55,20 @@
     const fn lost(reason: Reason) -> Self {
         Self::failed(reason, Run::Unknown, true)
     }
+
+    /// What it says of the target's health.
+    #[must_use]
+    pub const fn evidence(&self) -> Option<health::Outcome> {
+        match self {
+            Self::Whole => Some(health::Outcome::Answered),
+            Self::Gone => None,
+            Self::Refused(..) => Some(health::Outcome::Failed),
+            Self::Failed { arrived: false, .. } => Some(health::Outcome::Unreachable),
+            // The request's own time was over, which says nothing of the target.
+            Self::Failed { reason: Reason::DeadlineExceeded, .. } => None,
+            Self::Failed { .. } => Some(health::Outcome::Failed),
+        }
+    }
 }
 
 /// An answer in progress, over all attempts.
@@ -92,8 +107,12 @@
                 return Outcome::failed(Reason::TargetLost, Run::NotRun, false);
             }
             Ok(Err(_)) => return Outcome::lost(Reason::TargetLost),
-            Err(_) => return Outcome::lost(Reason::DeadlineExceeded),
+            Err(_) if self.left(state).is_zero() => {
+                return Outcome::lost(Reason::DeadlineExceeded);
+            }
+            Err(_) => return Outcome::lost(Reason::TargetLost),
         };
+        state.fleet().sign(state.clock.now(), &choice.target);
         self.read(state, &choice.target, lease, response).await
     }
 
@@ -161,7 +180,7 @@
         }
         if self.request.form == Form::Events && success {
             self.weights = self.weights.or(weights);
-            return self.stream(state, lease, &aside, parts.status, headers, body).await;
+            return self.stream(state, target, lease, &aside, parts.status, headers, body).await;
         }
         if self.begun {
             return Outcome::lost(Reason::TargetError);
@@ -224,6 +243,7 @@
     async fn stream(
         &mut self,
         state: &State,
+        target: &str,
         lease: Lease,
         aside: &Aside,
         status: StatusCode,
@@ -246,6 +266,7 @@
                 Ok(Some(Err(_))) => return Outcome::lost(Reason::TargetLost),
                 Err(_) => return Outcome::lost(Reason::DeadlineExceeded),
             };
+            state.fleet().sign(state.clock.now(), target);
             let Ok(whole) = self.events.take(&data) else {
                 return Outcome::lost(Reason::TargetError);
             };
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -9,7 +9,6 @@
 use cornelpass_caller::problem::Problem;
 use cornelpass_core::course::{Course, Ended, Next, Terms};
 use cornelpass_core::events::Events;
-use cornelpass_core::fleet::health::Health;
 use cornelpass_core::plan::{Limits, Plan};
 use cornelpass_core::refusal::{Reason, Run};
 use cornelpass_core::request::Request;
@@ -140,7 +139,7 @@
             return finish(answer, progress).await;
         }
     };
-    state.fleet().loads().sent(&choice.target);
+    state.fleet().sent(now, &choice.target);
     log!(
         Code::Routed,
         id = request.id,
@@ -154,10 +153,18 @@
         fetch = choice.fetch.as_ref().map_or(0, |fetch| fetch.tokens)
     );
     let outcome = answer.attempt(state, &choice, patience(request, &progress.course, now)).await;
-    state.fleet().loads().ended(&choice.target);
+    note(state, &choice.target, &outcome);
     ended(state, answer, progress, &choice.target, outcome).await
 }
 
+/// Takes what the end of an attempt says of its target.
+fn note(state: &State, target: &str, outcome: &Outcome) {
+    let (before, after) = state.fleet().ended(state.clock.now(), target, outcome.evidence());
+    if before != after {
+        log!(Code::TargetStanding, target, %before, %after);
+    }
+}
+
 /// Time for the head of an answer, after which another target is tried.
 fn patience(request: &Request, course: &Course, now: Instant) -> Duration {
     let left = request.left(now);
@@ -176,7 +183,6 @@
     let begun = answer.begun;
     let ended = match outcome {
         Outcome::Whole => {
-            state.fleet().health(target).into_iter().for_each(Health::answered);
             let ms = now.saturating_duration_since(answer.request.begun).as_millis();
             log!(Code::Answered, id, target, ms = u64::try_from(ms).unwrap_or(u64::MAX));
             return Step::Done;
@@ -192,7 +198,6 @@
         }
         Outcome::Failed { reason, run, arrived } => {
             log!(Code::AttemptFailed, id, target, reason = reason.name(), run = %run);
-            state.fleet().health(target).into_iter().for_each(|health| health.failed(now));
             progress.reason = reason;
             Ended { run, arrived, begun, answered: false }
         }
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -131,7 +131,9 @@
         let loads = fleet.loads().list();
         let others = fleet.peers().addresses().count();
         let reads = fleet.parts().news(report::read_limit(others));
-        Report { incarnation, sequence, version, leaving, loads, reads, ..Report::default() }
+        let failures = fleet.failures(self.clock.now());
+        let contents = Vec::new();
+        Report { incarnation, sequence, version, leaving, loads, failures, contents, reads }
     }
 
     /// The retry budgets.
