feat(router): keep connections for requests to a target that was just heard

A target that gave a sign within 100 ms and failed nothing is there as surely as one that accepts a connection.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -309,6 +309,16 @@
         }
     }
 
+    /// Whether a target has given a sign within a time, and has failed nothing lately.
+    #[must_use]
+    pub fn is_alive(&self, now: Instant, target: &str, within: Duration) -> bool {
+        self.records.get(target).is_some_and(|record| {
+            let heard = record.health.heard();
+            heard.is_some_and(|at| now.saturating_duration_since(at) < within)
+                && record.health.count(now).failed == 0
+        })
+    }
+
     /// A request has ended at a target; without an outcome if its caller has left.
     ///
     /// Returns how the target stood before and stands now.
--- a/crates/cornelpass-router/src/gateway/exchange.rs
+++ b/crates/cornelpass-router/src/gateway/exchange.rs
@@ -24,6 +24,10 @@
 /// Time to open a connection; a round trip between data centres takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time since the last sign of a target within which a request that may not be repeated can be sent
+/// on a kept connection. The opening of a new one shows that the target is there.
+const ALIVE: Duration = Duration::from_millis(100);
+
 /// Largest body of an idempotent request's answer that is held until it is whole, in bytes.
 const HOLD_LIMIT: u64 = 64 * 1024;
 
@@ -116,16 +120,16 @@
         self.read(state, &choice.target, lease, response).await
     }
 
+    /// A connection to the target: a kept one, unless what is sent on it might be lost with it.
     async fn open(&self, state: &State, choice: &Choice) -> Result<Lease, Error> {
-        let fresh = self.request.repeat == Repeat::Never;
-        let kept = state.pool.take(state.clock.now(), choice.address).filter(|_| !fresh);
-        match kept {
-            Some(lease) => Ok(lease),
-            None => {
-                let left = self.request.left(state.clock.now());
-                state.pool.open(choice.address, CONNECT_TIMEOUT.min(left)).await
-            }
+        let now = state.clock.now();
+        let alive = state.fleet().is_alive(now, &choice.target, ALIVE);
+        let kept = alive || self.request.repeat.allowed();
+        if let Some(lease) = state.pool.take(now, choice.address).filter(|_| kept) {
+            return Ok(lease);
         }
+        let left = self.request.left(now);
+        state.pool.open(choice.address, CONNECT_TIMEOUT.min(left)).await
     }
 
     fn build(&self, state: &State, choice: &Choice) -> Option<hyper::Request<Full<Bytes>>> {
