feat(router): let few routers follow the targets closely, and tell the others

Two routers ask often, by the order of their addresses among those that do; the others are told in reports and ask every 4 s. Pauses after failed calls double.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 pub mod health;
 pub mod load;
+pub mod lookout;
 pub mod parts;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,6 +20,7 @@
 use self::cold::Gate;
 use self::health::{Health, Outcome, Standing};
 use self::load::Loads;
+use self::lookout::Lookout;
 use self::parts::Parts;
 use crate::course::{Claim, Course};
 use crate::peers::{News, Peers};
@@ -65,6 +67,14 @@
     pub born: Option<u64>,
 }
 
+impl Row {
+    /// Whether two entries say the same, apart from how long the target is still cold.
+    fn says_the_same(&self, other: &Self) -> bool {
+        let cold = self.cold_left.is_zero() == other.cold_left.is_zero();
+        cold && *self == Self { cold_left: self.cold_left, ..other.clone() }
+    }
+}
+
 /// Figures of the deployment that bound what targets get.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -184,6 +194,7 @@
     loads: Loads,
     peers: Peers,
     parts: Parts,
+    lookout: Lookout,
     /// Since when the platform answers again, if it was away.
     returned: Option<Instant>,
 }
@@ -209,7 +220,7 @@
             Some(record) if record.revision >= revision => false,
             Some(record) => {
                 let restarted = record.row.born != row.born;
-                let changed = record.row != row || record.missing.is_some();
+                let changed = !record.row.says_the_same(&row) || record.missing.is_some();
                 if restarted {
                     record.health = Health::default();
                     self.parts.forget(name);
@@ -275,6 +286,12 @@
         for read in &report.reads {
             self.parts.note(now, *read);
         }
+        for change in &report.changes {
+            match &change.row {
+                Some(row) => self.list(now, &change.name, row.clone(), change.revision),
+                None => self.unlist(now, &change.name, change.revision),
+            };
+        }
         let news = self.peers.take(now, router, report);
         for (name, record) in &mut self.records {
             record.health.told(now, self.peers.failures(now, report::short(name)));
@@ -340,6 +357,11 @@
         (before, record.health.standing(now))
     }
 
+    /// What the platform told this router.
+    pub const fn lookout(&mut self) -> &mut Lookout {
+        &mut self.lookout
+    }
+
     /// Parts of prompts that targets hold.
     pub const fn parts(&mut self) -> &mut Parts {
         &mut self.parts
--- a/crates/cornelpass-core/src/fleet/health.rs
+++ b/crates/cornelpass-core/src/fleet/health.rs
@@ -240,7 +240,6 @@
     /// Whether requests wait and nothing was heard for too long.
     fn is_silent(&self, now: Instant) -> bool {
         let since = self.since.max(self.heard);
-        self.waiting > 0
-            && since.is_some_and(|at| now.saturating_duration_since(at) > SILENCE)
+        self.waiting > 0 && since.is_some_and(|at| now.saturating_duration_since(at) > SILENCE)
     }
 }
--- /dev/null
+++ b/crates/cornelpass-core/src/fleet/lookout.rs
@@ -0,0 +1,77 @@
+//! Which routers ask the platform for changes of the targets, and what they tell the others.
+//!
+//! Targets write their entries all the time, so that each call for changes is answered at once. A few
+//! routers make these calls often and tell the others what has changed; the others make them seldom,
+//! in case they are not told. Who is among the few follows from the reports alone: a router makes
+//! them often unless enough others do whose addresses come first.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::peers::Peers;
+use crate::report::{CHANGE_LIMIT, Change, MAX_AGE_MS};
+
+/// Routers that ask often; one of them may be cut off without being silent.
+pub const LOOKOUTS: usize = 2;
+
+/// Age of what a router was told up to which it counts as asking often.
+const FRESH: Duration = Duration::from_millis(1_500);
+
+/// Time for which a change is told.
+const TELL_PERIOD: Duration = Duration::from_millis(2_500);
+
+/// Most changes that are told.
+const MEMORY_LIMIT: usize = 256;
+
+/// What this router was told by the platform.
+#[derive(Clone, Debug, Default)]
+pub struct Lookout {
+    listed: Option<Instant>,
+    changes: VecDeque<(Instant, Change)>,
+    /// Where the next report begins among the changes.
+    next: usize,
+}
+
+impl Lookout {
+    /// The platform has told of the targets.
+    pub const fn listed(&mut self, now: Instant) {
+        self.listed = Some(now);
+    }
+
+    /// An entry has changed, as the platform told.
+    pub fn changed(&mut self, now: Instant, change: Change) {
+        self.changes.retain(|(_, told)| told.name != change.name);
+        self.changes.push_back((now, change));
+        let surplus = self.changes.len().saturating_sub(MEMORY_LIMIT);
+        self.changes.drain(..surplus);
+    }
+
+    /// Changes for the next report; more of them than fit are told in turn.
+    pub fn news(&mut self, now: Instant) -> Vec<Change> {
+        self.changes.retain(|(at, _)| now.saturating_duration_since(*at) <= TELL_PERIOD);
+        let count = self.changes.len();
+        let told = count.min(CHANGE_LIMIT);
+        let start = self.next.checked_rem(count).unwrap_or_default();
+        self.next = start + told;
+        let order = (0..told).map(|step| (start + step) % count);
+        order.map(|index| self.changes[index].1.clone()).collect()
+    }
+
+    /// Age of what the platform told, in milliseconds.
+    #[must_use]
+    pub fn age_ms(&self, now: Instant) -> u16 {
+        let age = self.listed.map(|at| now.saturating_duration_since(at).as_millis());
+        age.and_then(|age| u16::try_from(age).ok()).unwrap_or(MAX_AGE_MS)
+    }
+}
+
+/// Whether a router at an address has to ask often.
+#[must_use]
+pub fn asks_often(now: Instant, own: SocketAddr, peers: &Peers) -> bool {
+    let often = peers.told(now).filter(|(address, age, report)| {
+        let age = *age + Duration::from_millis(u64::from(report.listed_ms));
+        *address < own && age <= FRESH && !report.leaving
+    });
+    often.count() < LOOKOUTS
+}
--- a/crates/cornelpass-core/src/report.rs
+++ b/crates/cornelpass-core/src/report.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::digest;
+use crate::fleet::Row;
 
 /// Most that one router sends to all others, in bytes a second: the users' aim for control.
 pub const BYTES_PER_SECOND: u32 = 4096;
@@ -32,9 +33,7 @@
 }
 
 /// A target has read a part of a prompt.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Read {
     /// Short hash of the part and all before it.
     pub part: u32,
@@ -57,6 +56,23 @@
 /// Fewest routers for which these are divided.
 const LEAST_OTHERS: usize = 4;
 
+/// A target's entry that has changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Name of the target.
+    pub name: String,
+    /// Revision of the entry.
+    pub revision: u64,
+    /// The entry; none if it was removed.
+    pub row: Option<Row>,
+}
+
+/// Most changed entries in one report.
+pub const CHANGE_LIMIT: usize = 6;
+
+/// Age of what the platform told, as far as it can be told, in milliseconds.
+pub const MAX_AGE_MS: u16 = u16::MAX;
+
 /// A report of one router.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -66,6 +82,8 @@
     pub sequence: u32,
     /// Version of the configuration in force.
     pub version: u64,
+    /// Highest revision of what the operators have written, as far as this router knows.
+    pub orders: u64,
     /// Whether the router is about to stop.
     pub leaving: bool,
     /// Requests in progress, by target.
@@ -76,6 +94,10 @@
     pub contents: Vec<u64>,
     /// Parts of prompts that targets have read since the last report.
     pub reads: Vec<Read>,
+    /// Time since the platform last told this router of the targets, in milliseconds.
+    pub listed_ms: u16,
+    /// Entries that the platform has told this router to have changed a moment ago.
+    pub changes: Vec<Change>,
 }
 
 /// Time between two reports of a length in bytes, to a number of other routers.
--- a/crates/cornelpass-router/src/gateway/follow.rs
+++ b/crates/cornelpass-router/src/gateway/follow.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cornelpass_core::fleet::lookout;
+use cornelpass_core::report::Change;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use cornelpass_platform::error::Error;
@@ -19,20 +21,33 @@
 /// Longest wait of one call for a change; a silent connection is noticed after it.
 const WAIT: Duration = Duration::from_secs(4);
 
-/// The same for changes of the routers' entries, which these tell each other as well.
-const ROUTERS_WAIT: Duration = Duration::from_secs(25);
+/// The same where other routers would tell of a change.
+const LONG_WAIT: Duration = Duration::from_secs(25);
 
 /// Time for an answer, beyond the wait.
 const PATIENCE: Duration = Duration::from_millis(600);
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after the first failed call; it doubles with each further one.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause after a failed call.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// Random part of a pause, so that routers do not ask in step.
+const RETRY_SPREAD: f64 = 0.3;
 
 /// The same while there is no configuration, for which callers wait.
 const START_PAUSE: Duration = Duration::from_millis(80);
 
-/// Pause between two calls for changes of targets, whose entries change all the time.
-const TARGETS_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two calls for changes of targets, whose entries change all the time, as a part of
+/// the time in which a leaving target has to see its last request.
+const OFTEN_PART: f64 = 0.4;
+
+/// The same where other routers tell of the changes.
+const SELDOM_PAUSE: Duration = Duration::from_secs(4);
+
+/// Time between two looks at whether they do.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
 
 /// Pause after a failed registration; the others hear of this router by its reports as well.
 const REGISTER_PAUSE: Duration = Duration::from_secs(2);
@@ -42,20 +57,20 @@
 struct Known {
     revision: Option<u64>,
     reachable: Option<bool>,
+    /// Calls in a row that failed.
+    failures: u32,
+    /// Another router knows more.
+    hurried: bool,
 }
 
 /// Follows a topic for as long as the process runs.
-pub async fn run(state: Arc<State>, feed: Arc<dyn Feed>, topic: Topic) {
+///
+/// `drain` is the time in which a leaving target has to see its last request.
+pub async fn run(state: Arc<State>, feed: Arc<dyn Feed>, topic: Topic, drain: Duration) {
     let mut known = Known::default();
     let mut closed = BTreeSet::new();
     loop {
-        let answer = match known.revision {
-            None => feed.read(topic, PATIENCE).await.map(|page| (Changes::Page(page), true)),
-            Some(since) => feed
-                .changes(topic, since, wait(topic), PATIENCE)
-                .await
-                .map(|changes| (changes, false)),
-        };
+        let Some(answer) = ask(&state, feed.as_ref(), topic, &mut known).await else { continue };
         let failed = answer.is_err();
         note(&state, topic, &mut known, answer.as_ref().err());
         match answer {
@@ -63,20 +78,78 @@
                 known.revision = Some(page.revision);
                 take(&state, topic, page, whole, &mut closed);
             }
-            Ok((Changes::Lost, _)) | Err(_) => known.revision = None,
+            Ok((Changes::Lost, _)) => known.revision = None,
+            Err(_) => {}
         }
         if failed {
-            sleep(if state.plan().is_some() { RETRY_PAUSE } else { START_PAUSE }).await;
-        } else if topic == Topic::Targets {
-            sleep(TARGETS_PAUSE).await;
+            known.failures += 1;
+            sleep(retry_pause(&state, known.failures)).await;
+            continue;
+        }
+        known.failures = 0;
+        if topic == Topic::Targets {
+            pause(&state, drain.mul_f64(OFTEN_PART)).await;
         }
     }
 }
 
-const fn wait(topic: Topic) -> Duration {
+fn retry_pause(state: &State, failures: u32) -> Duration {
+    if state.plan().is_none() {
+        return START_PAUSE;
+    }
+    let pause = RETRY_PAUSE.saturating_mul(1 << failures.saturating_sub(1).min(8));
+    pause.min(MAX_RETRY_PAUSE).mul_f64(1.0 - RETRY_SPREAD * rand::random::<f64>())
+}
+
+/// Waits until the platform is to be asked for changes of the targets again.
+async fn pause(state: &State, often: Duration) {
+    let begun = state.clock.now();
+    sleep(often).await;
+    loop {
+        let waited = state.clock.now().saturating_duration_since(begun);
+        if asks_often(state) || waited >= SELDOM_PAUSE {
+            return;
+        }
+        sleep(LOOK_PERIOD).await;
+    }
+}
+
+/// Asks for all rows, or for the changes of those that are known, with whether these are all rows.
+///
+/// Returns nothing if another router told of a change meanwhile: the next call does not wait then,
+/// and is not broken off, however often others tell.
+async fn ask(
+    state: &State,
+    feed: &dyn Feed,
+    topic: Topic,
+    known: &mut Known,
+) -> Option<Result<(Changes, bool), Error>> {
+    let Some(since) = known.revision else {
+        let page = feed.read(topic, PATIENCE).await;
+        return Some(page.map(|page| (Changes::Page(page), true)));
+    };
+    let hurried = std::mem::take(&mut known.hurried);
+    let wait = if hurried { Duration::ZERO } else { wait(state, topic) };
+    let changes = feed.changes(topic, since, wait, PATIENCE);
+    let changes = tokio::select! {
+        changes = changes => changes,
+        () = state.behind(), if topic == Topic::Operators && !hurried => {
+            known.hurried = true;
+            return None;
+        }
+    };
+    Some(changes.map(|changes| (changes, false)))
+}
+
+fn asks_often(state: &State) -> bool {
+    lookout::asks_often(state.clock.now(), state.address, state.fleet().peers())
+}
+
+fn wait(state: &State, topic: Topic) -> Duration {
     match topic {
-        Topic::Operators | Topic::Targets => WAIT,
-        Topic::Routers => ROUTERS_WAIT,
+        Topic::Operators if asks_often(state) => WAIT,
+        Topic::Targets => WAIT,
+        Topic::Operators | Topic::Routers => LONG_WAIT,
     }
 }
 
@@ -100,6 +173,9 @@
 
 fn take(state: &State, topic: Topic, page: Page, whole: bool, closed: &mut BTreeSet<String>) {
     let now = state.clock.now();
+    if topic == Topic::Targets {
+        state.fleet().lookout().listed(now);
+    }
     if whole && topic == Topic::Targets {
         let name = |entry: &Entry| match &entry.fact {
             Fact::Target(name, _) => Some(name.clone()),
@@ -112,6 +188,9 @@
         closed.clear();
     }
     for entry in page.entries {
+        if topic == Topic::Operators {
+            state.ordered(entry.revision);
+        }
         match entry.fact {
             Fact::Plan(plan) => state.offer(*plan),
             Fact::Closed(data_centre) => {
@@ -121,10 +200,18 @@
                 closed.remove(&data_centre);
             }
             Fact::Target(name, row) => {
-                state.fleet().list(now, &name, row, entry.revision);
+                let mut fleet = state.fleet();
+                if fleet.list(now, &name, row.clone(), entry.revision) {
+                    let change = Change { name, revision: entry.revision, row: Some(row) };
+                    fleet.lookout().changed(now, change);
+                }
             }
             Fact::Gone(name) => {
-                state.fleet().unlist(now, &name, entry.revision);
+                let mut fleet = state.fleet();
+                if fleet.unlist(now, &name, entry.revision) {
+                    let change = Change { name, revision: entry.revision, row: None };
+                    fleet.lookout().changed(now, change);
+                }
             }
             Fact::Unreadable { key, problem } => log!(Code::ConfigRejected, key, problem),
             Fact::Router(name, address) if name != state.name => {
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -78,6 +78,7 @@
 fn take(state: &State, address: SocketAddr, report: Report) {
     let now = state.clock.now();
     let version = report.version;
+    state.told_of_orders(report.orders);
     let news = state.fleet().told(now, address, report);
     match news {
         News::Joined => log!(Code::PeerJoined, router = %address, version),
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! State of a gateway.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cornelpass_core::budget::{Budgets, Terms};
@@ -14,7 +15,7 @@
 use cornelpass_operator::settings::gateway::Gateway;
 use cornelpass_target::dialect::Dialect;
 use cornelpass_target::pool::Pool;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// State of a gateway.
 pub struct State {
@@ -28,9 +29,15 @@
     pub dialect: Arc<dyn Dialect>,
     /// Kept connections to targets.
     pub pool: Pool,
+    /// Address for other routers' reports.
+    pub address: SocketAddr,
     plan: watch::Sender<Option<Arc<Plan>>>,
     fleet: Mutex<Fleet>,
     budgets: Mutex<Budgets>,
+    /// Highest revision of what the operators have written, as far as is known.
+    orders: AtomicU64,
+    /// Another router knows a higher one.
+    behind: Notify,
     draining: AtomicBool,
     open: AtomicUsize,
 }
@@ -78,9 +85,12 @@
             metrics,
             dialect,
             pool: Pool::new(),
+            address: settings.listen.reports,
             plan: watch::Sender::new(None),
             fleet: Mutex::new(fleet),
             budgets: Mutex::new(Budgets::new(terms)),
+            orders: AtomicU64::new(0),
+            behind: Notify::new(),
             draining: AtomicBool::new(false),
             open: AtomicUsize::new(0),
         }
@@ -117,6 +127,23 @@
         log!(Code::ConfigApplied, version);
     }
 
+    /// Takes the revision of something that the operators have written.
+    pub fn ordered(&self, revision: u64) {
+        self.orders.fetch_max(revision, Ordering::SeqCst);
+    }
+
+    /// Another router knows what the operators have written up to a revision.
+    pub fn told_of_orders(&self, revision: u64) {
+        if revision > self.orders.load(Ordering::SeqCst) {
+            self.behind.notify_one();
+        }
+    }
+
+    /// Returns when another router knows more of what the operators have written.
+    pub async fn behind(&self) {
+        self.behind.notified().await;
+    }
+
     /// The targets.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         lock(&self.fleet)
@@ -127,13 +154,22 @@
     pub fn report(&self, incarnation: u32, sequence: u32) -> Report {
         let version = self.plan().map_or(0, |plan| plan.version);
         let leaving = self.draining.load(Ordering::SeqCst);
+        let now = self.clock.now();
         let mut fleet = self.fleet();
-        let loads = fleet.loads().list();
         let others = fleet.peers().addresses().count();
-        let reads = fleet.parts().news(report::read_limit(others));
-        let failures = fleet.failures(self.clock.now());
-        let contents = Vec::new();
-        Report { incarnation, sequence, version, leaving, loads, failures, contents, reads }
+        Report {
+            incarnation,
+            sequence,
+            version,
+            orders: self.orders.load(Ordering::SeqCst),
+            leaving,
+            loads: fleet.loads().list(),
+            failures: fleet.failures(now),
+            contents: Vec::new(),
+            reads: fleet.parts().news(report::read_limit(others)),
+            listed_ms: fleet.lookout().age_ms(now),
+            changes: fleet.lookout().news(now),
+        }
     }
 
     /// The retry budgets.
