--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -180,6 +180,13 @@
     }
 }
 
+/// Age of what the routers tell at which it would say nothing about a target's load any more: about
+/// as long as a request lasts.
+const BLIND_AGE: Duration = Duration::from_millis(600);
+
+/// Part of the bound up to which a router need not keep to its own part of it, however old that is.
+const LEAST_FREE_PART: f64 = 0.4;
+
 /// Time after which a refused request may find room, where nothing says when.
 const ROOM_WAIT: Duration = Duration::from_millis(200);
 
@@ -260,9 +267,17 @@
         }
     }
 
-    /// The platform answers again after it was away.
-    pub fn returned(&mut self, now: Instant) {
-        self.returned = Some(now);
+    /// The platform answers this router again, after it did not for a time.
+    ///
+    /// If it told other routers of the targets meanwhile, it was not away itself, and no entries
+    /// have lapsed.
+    pub fn returned(&mut self, now: Instant, away: Duration) {
+        let told_others = self.peers.told(now).any(|(_, age, report)| {
+            age + Duration::from_millis(u64::from(report.listed_ms)) < away
+        });
+        if !told_others {
+            self.returned = Some(now);
+        }
     }
 
     /// Takes the data centres that operators have taken out.
@@ -431,8 +446,7 @@
         if serving.is_empty() {
             return Err(Refusal { reason: Reason::NoTarget, wait: ROOM_WAIT });
         }
-        let total: u32 = serving.iter().map(|name| self.load(name, now)).sum();
-        let bound = self.bound(total, serving.len());
+        let bound = self.bound(now, &request.service);
         let open = serving.into_iter().filter(|name| course.claim(name) != Claim::Barred);
         let candidates: Vec<Candidate<'_>> =
             open.map(|name| self.candidate(name, bound, now)).collect();
@@ -503,20 +517,38 @@
         records.find(|(name, _)| report::short(name) == target).map(|(_, record)| record)
     }
 
-    /// Load that each of some targets may reach, in requests.
+    /// Load that each target of a service may reach, in requests.
+    ///
+    /// The mean is over all targets that are listed, also those that get no new work.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss,
         reason = "loads are small"
     )]
-    fn bound(&self, total: u32, targets: usize) -> u32 {
-        let mean = f64::from(total) / targets.max(1) as f64;
+    fn bound(&self, now: Instant, service: &str) -> u32 {
+        let listed = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.row.service == service && record.missing.is_none());
+        let loads: Vec<u32> = listed.map(|(name, _)| self.load(name, now)).collect();
+        let mean = f64::from(loads.iter().sum::<u32>()) / loads.len().max(1) as f64;
         (self.bounds.load_multiple * mean) as u32 + self.bounds.load_slack
     }
 
+    /// A target as a candidate.
+    ///
+    /// All routers may send to the same target in the time in which what they tell grows old. So
+    /// above a part of the bound, which is the smaller the older that is, none takes more than its
+    /// own part of the bound.
     fn candidate<'a>(&self, name: &'a str, bound: u32, now: Instant) -> Candidate<'a> {
-        Candidate::new(name, 1).load(self.load(name, now), bound)
+        let members = u32::try_from(self.peers.members(now)).unwrap_or(u32::MAX);
+        let (load, own) = (self.load(name, now), self.loads.of(name));
+        let blind = self.peers.age(now).as_secs_f64() / BLIND_AGE.as_secs_f64();
+        let free_part = (1.0 - blind).max(LEAST_FREE_PART);
+        let crowded = f64::from(load) >= f64::from(bound) * free_part && own > bound / members;
+        let load = if crowded { load.max(bound) } else { load };
+        Candidate::new(name, 1).load(load, bound)
     }
 
     fn takes_work(&self, record: &Record, now: Instant) -> bool {
@@ -529,10 +561,8 @@
     ///
     /// Entries lapse while the platform's store is away, and servers that live write them again.
     fn lapsed(&self, since: Instant, now: Instant) -> bool {
-        self.returned.is_some_and(|at| {
-            since.saturating_duration_since(at) < LAPSE_GRACE
-                && now.saturating_duration_since(at) < LAPSE_GRACE
-        })
+        self.returned
+            .is_some_and(|at| since >= at && now.saturating_duration_since(at) < LAPSE_GRACE)
     }
 
     /// Takes a place at a target if it is cold; a warm one has no such limit.
--- a/crates/cornelpass-core/src/peers.rs
+++ b/crates/cornelpass-core/src/peers.rs
@@ -130,6 +130,15 @@
         })
     }
 
+    /// Mean age of what the others last told.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Duration {
+        let (count, sum) = self
+            .told(now)
+            .fold((0_u32, Duration::ZERO), |(count, sum), told| (count + 1, sum + told.1));
+        sum.checked_div(count).unwrap_or_default()
+    }
+
     /// Failures at a target, of all the others.
     #[must_use]
     pub fn failures(&self, now: Instant, target: u32) -> Count {
--- a/crates/cornelpass-platform/src/feed.rs
+++ b/crates/cornelpass-platform/src/feed.rs
@@ -70,6 +70,8 @@
     pub entries: Vec<Entry>,
     /// Revision up to which all changes are in them.
     pub revision: Revision,
+    /// Whether there are more changes already.
+    pub more: bool,
 }
 
 /// Changes after a revision.
--- a/crates/cornelpass-router/src/gateway/follow.rs
+++ b/crates/cornelpass-router/src/gateway/follow.rs
@@ -1,25 +1,27 @@
 //! Follows what the platform tells of operators and targets.
 //!
-//! Each topic is read whole once, and then followed by calls that wait for a change. After a
-//! failure, and when the platform has lost its history, it is read whole again.
+//! Each topic is read whole once, and then followed by calls that wait for a change. After several
+//! failures, and when the platform has lost its history, it is read whole again.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cornelpass_core::fleet::lookout;
 use cornelpass_core::report::Change;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
+use cornelpass_operator::settings::gateway::Bounds;
 use cornelpass_platform::error::Error;
 use cornelpass_platform::feed::{Changes, Entry, Fact, Feed, Page, Topic};
 use tokio::time::sleep;
 
 use super::state::State;
 
-/// Longest wait of one call for a change; a silent connection is noticed after it.
-const WAIT: Duration = Duration::from_secs(4);
+/// Longest wait of one call for a change, as a part of the time in which a configuration has to be in
+/// force; a silent connection is noticed after it.
+const WAIT_PART: f64 = 0.5;
 
 /// The same where other routers would tell of a change.
 const LONG_WAIT: Duration = Duration::from_secs(25);
@@ -33,6 +35,9 @@
 /// Longest pause after a failed call.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
 
+/// Failed calls in a row after which everything is read again: there are many changes by then.
+const REREAD_FAILURES: u32 = 3;
+
 /// Random part of a pause, so that routers do not ask in step.
 const RETRY_SPREAD: f64 = 0.3;
 
@@ -57,6 +62,8 @@
 struct Known {
     revision: Option<u64>,
     reachable: Option<bool>,
+    /// Since when it is reachable, or not.
+    since: Option<Instant>,
     /// Calls in a row that failed.
     failures: u32,
     /// Another router knows more.
@@ -65,17 +72,21 @@
 
 /// Follows a topic for as long as the process runs.
 ///
-/// `drain` is the time in which a leaving target has to see its last request.
-pub async fn run(state: Arc<State>, feed: Arc<dyn Feed>, topic: Topic, drain: Duration) {
+/// `bounds` say how soon a change has to be known.
+pub async fn run(state: Arc<State>, feed: Arc<dyn Feed>, topic: Topic, bounds: Bounds) {
     let mut known = Known::default();
     let mut closed = BTreeSet::new();
     loop {
-        let Some(answer) = ask(&state, feed.as_ref(), topic, &mut known).await else { continue };
+        let Some(answer) = ask(&state, feed.as_ref(), topic, &mut known, &bounds).await else {
+            continue;
+        };
         let failed = answer.is_err();
         note(&state, topic, &mut known, answer.as_ref().err());
+        let mut more = false;
         match answer {
             Ok((Changes::Page(page), whole)) => {
                 known.revision = Some(page.revision);
+                more = page.more;
                 take(&state, topic, page, whole, &mut closed);
             }
             Ok((Changes::Lost, _)) => known.revision = None,
@@ -83,12 +94,15 @@
         }
         if failed {
             known.failures += 1;
+            if known.failures >= REREAD_FAILURES {
+                known.revision = None;
+            }
             sleep(retry_pause(&state, known.failures)).await;
             continue;
         }
         known.failures = 0;
-        if topic == Topic::Targets {
-            pause(&state, drain.mul_f64(OFTEN_PART)).await;
+        if topic == Topic::Targets && !more {
+            pause(&state, bounds.drain.mul_f64(OFTEN_PART)).await;
         }
     }
 }
@@ -123,13 +137,14 @@
     feed: &dyn Feed,
     topic: Topic,
     known: &mut Known,
+    bounds: &Bounds,
 ) -> Option<Result<(Changes, bool), Error>> {
     let Some(since) = known.revision else {
         let page = feed.read(topic, PATIENCE).await;
         return Some(page.map(|page| (Changes::Page(page), true)));
     };
     let hurried = std::mem::take(&mut known.hurried);
-    let wait = if hurried { Duration::ZERO } else { wait(state, topic) };
+    let wait = if hurried { Duration::ZERO } else { wait(state, topic, bounds) };
     let changes = feed.changes(topic, since, wait, PATIENCE);
     let changes = tokio::select! {
         changes = changes => changes,
@@ -145,10 +160,11 @@
     lookout::asks_often(state.clock.now(), state.address, state.fleet().peers())
 }
 
-fn wait(state: &State, topic: Topic) -> Duration {
+fn wait(state: &State, topic: Topic, bounds: &Bounds) -> Duration {
+    let short = bounds.config.mul_f64(WAIT_PART);
     match topic {
-        Topic::Operators if asks_often(state) => WAIT,
-        Topic::Targets => WAIT,
+        Topic::Operators if asks_often(state) => short,
+        Topic::Targets => short,
         Topic::Operators | Topic::Routers => LONG_WAIT,
     }
 }
@@ -162,13 +178,17 @@
     match error {
         Some(error) => log!(Code::PlatformUnreachable, topic, %error),
         None => {
+            let now = state.clock.now();
+            let away =
+                known.since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
             if known.reachable.is_some() {
-                state.fleet().returned(state.clock.now());
+                state.fleet().returned(now, away);
             }
-            log!(Code::PlatformReachable, topic);
+            log!(Code::PlatformReachable, topic, away_ms = away.as_millis() as u64);
         }
     }
     known.reachable = Some(reachable);
+    known.since = Some(state.clock.now());
 }
 
 fn take(state: &State, topic: Topic, page: Page, whole: bool, closed: &mut BTreeSet<String>) {
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -90,7 +90,7 @@
     let readiness = bind("readiness", settings.listen.readiness).await?;
     let feed = Arc::new(Store::new(settings.platform));
     for topic in [Topic::Operators, Topic::Targets, Topic::Routers] {
-        tokio::spawn(follow::run(Arc::clone(&state), feed.clone(), topic, settings.bounds.drain));
+        tokio::spawn(follow::run(Arc::clone(&state), feed.clone(), topic, settings.bounds.clone()));
     }
     meet(&state, &settings, feed).await?;
     let (_kept, fixed) = watch::channel(Limits::default());
