feat(operator): bound the log, and never wait for it

Lines go through a bounded queue to a thread; each event and the process have a limit a second, and what is left out is counted in the next line.

--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -1,9 +1,14 @@
 //! Numbered log events; `docs/EVENTS.md` is their catalogue.
 
+use std::sync::OnceLock;
+
+use snafu::{ResultExt, Whatever};
 use strum::{EnumIter, IntoStaticStr};
 use tracing::Level;
 use tracing_subscriber::EnvFilter;
 
+use crate::writer::Queue;
+
 /// Form of the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::EnumString, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -118,23 +123,27 @@
     }
 }
 
-/// Logs an event of the catalogue with its fields.
+/// Logs an event of the catalogue with its fields, unless there are too many of them.
 #[macro_export]
 macro_rules! log {
     ($code:expr $(, $($field:tt)+)?) => {{
         let code: $crate::event::Code = $code;
         let (number, name) = (code.number(), code.name());
-        match code.level() {
-            $crate::event::tracing::Level::ERROR => {
-                $crate::event::tracing::error!(event = number, name $(, $($field)+)?)
-            }
-            $crate::event::tracing::Level::WARN => {
-                $crate::event::tracing::warn!(event = number, name $(, $($field)+)?)
-            }
-            $crate::event::tracing::Level::INFO => {
-                $crate::event::tracing::info!(event = number, name $(, $($field)+)?)
+        if let Some(left_out) = $crate::limit::admit(code) {
+            match code.level() {
+                $crate::event::tracing::Level::ERROR => {
+                    $crate::event::tracing::error!(event = number, name, left_out $(, $($field)+)?)
+                }
+                $crate::event::tracing::Level::WARN => {
+                    $crate::event::tracing::warn!(event = number, name, left_out $(, $($field)+)?)
+                }
+                $crate::event::tracing::Level::INFO => {
+                    $crate::event::tracing::info!(event = number, name, left_out $(, $($field)+)?)
+                }
+                _ => {
+                    $crate::event::tracing::debug!(event = number, name, left_out $(, $($field)+)?)
+                }
             }
-            _ => $crate::event::tracing::debug!(event = number, name $(, $($field)+)?),
         }
     }};
 }
@@ -142,16 +151,32 @@
 #[doc(hidden)]
 pub use tracing;
 
+static QUEUE: OnceLock<Queue> = OnceLock::new();
+
 /// Starts logging to the standard output.
-pub fn init(format: Format) {
+///
+/// # Errors
+///
+/// If the thread that writes can not be started.
+pub fn init(format: Format) -> Result<(), Whatever> {
     let filter =
         EnvFilter::try_from_env("CORNELPASS_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    let queue = Queue::open(std::io::stdout()).whatever_context("log")?;
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_target(false)
-        .with_writer(std::io::stdout);
+        .with_writer(QUEUE.get_or_init(|| queue).clone());
+    // A process that logs already goes on as it began.
     let _ = match format {
         Format::Text => builder.with_ansi(false).try_init(),
         Format::Json => builder.json().flatten_event(true).try_init(),
     };
+    Ok(())
+}
+
+/// Waits for the lines so far, for a short time at most.
+pub fn flush() {
+    if let Some(queue) = QUEUE.get() {
+        queue.flush();
+    }
 }
--- a/crates/cornelpass-operator/src/lib.rs
+++ b/crates/cornelpass-operator/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod cli;
 pub mod console;
 pub mod event;
+pub mod limit;
 pub mod metrics;
 pub mod settings;
 pub mod stop;
+pub mod writer;
--- a/crates/cornelpass-operator/src/stop.rs
+++ b/crates/cornelpass-operator/src/stop.rs
@@ -5,6 +5,8 @@
 use snafu::{ResultExt, Whatever};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use crate::event;
+
 /// Returns when the process is asked to stop, by SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -51,7 +53,9 @@
         .enable_all()
         .build()
         .whatever_context("runtime")?;
-    runtime.block_on(process)
+    let ended = runtime.block_on(process);
+    event::flush();
+    ended
 }
 
 /// Runs a process to its end on one thread, for instances with a part of one core.
@@ -64,5 +68,7 @@
         .enable_all()
         .build()
         .whatever_context("runtime")?;
-    runtime.block_on(process)
+    let ended = runtime.block_on(process);
+    event::flush();
+    ended
 }
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -55,7 +55,7 @@
 ///
 /// If it can not start.
 pub fn run(settings: settings::Gateway) -> Result<(), Whatever> {
-    event::init(settings.log);
+    event::init(settings.log)?;
     stop::run_single(serve(settings))
 }
 
--- a/crates/cornelpass-router/src/serve.rs
+++ b/crates/cornelpass-router/src/serve.rs
@@ -31,7 +31,7 @@
 ///
 /// If it can not start.
 pub fn run(settings: Router) -> Result<(), Whatever> {
-    event::init(settings.log);
+    event::init(settings.log)?;
     stop::run(serve(settings))
 }
 
--- a/crates/cornelpass-sidecar/src/serve.rs
+++ b/crates/cornelpass-sidecar/src/serve.rs
@@ -44,7 +44,7 @@
 ///
 /// If it can not start.
 pub fn run(settings: Sidecar) -> Result<(), Whatever> {
-    event::init(settings.log);
+    event::init(settings.log)?;
     stop::run(serve(settings))
 }
 
