feat(router): suspect the contents in flight where a target has crashed

A content that was alone in flight, or suspected before, at a second crash is sent nowhere; reports carry the strikes to the other routers.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -22,6 +22,7 @@
 use self::load::Loads;
 use self::lookout::Lookout;
 use self::parts::Parts;
+use crate::admission::suspect::Ledger;
 use crate::course::{Claim, Course};
 use crate::peers::{News, Peers};
 use crate::placement::{Candidate, Least, Placement, Plain};
@@ -202,6 +203,7 @@
     peers: Peers,
     parts: Parts,
     lookout: Lookout,
+    suspects: Ledger,
     /// Since when the platform answers again, if it was away.
     returned: Option<Instant>,
 }
@@ -308,6 +310,9 @@
             };
         }
         let news = self.peers.take(now, router, report);
+        let contents: Vec<u64> =
+            self.peers.reports(now).flat_map(|report| report.contents.iter().copied()).collect();
+        self.suspects.merge(now, &contents);
         for (name, record) in &mut self.records {
             record.health.told(now, self.peers.failures(now, report::short(name)));
         }
@@ -326,9 +331,9 @@
             .collect()
     }
 
-    /// A request is on its way to a target.
-    pub fn sent(&mut self, now: Instant, target: &str) {
-        self.loads.sent(target);
+    /// A request is on its way to a target, with the digest of its content.
+    pub fn sent(&mut self, now: Instant, target: &str, content: u64) {
+        self.loads.sent(target, content);
         if let Some(record) = self.records.get_mut(target) {
             record.health.sent(now);
         }
@@ -358,9 +363,10 @@
         &mut self,
         now: Instant,
         target: &str,
+        content: u64,
         outcome: Option<Outcome>,
     ) -> (Standing, Standing) {
-        self.loads.ended(target);
+        self.loads.ended(target, content);
         let Some(record) = self.records.get_mut(target) else {
             return (Standing::Good, Standing::Good);
         };
@@ -372,6 +378,22 @@
         (before, record.health.standing(now))
     }
 
+    /// Contents suspected of crashing targets.
+    pub const fn suspects(&mut self) -> &mut Ledger {
+        &mut self.suspects
+    }
+
+    /// A target was lost under a request, and can not be reached any more: its contents in progress
+    /// are suspected, the request's own among them.
+    ///
+    /// Returns the contents.
+    pub fn crashed(&mut self, now: Instant, target: &str, content: u64) -> Vec<u64> {
+        let mut contents = self.loads.contents(target);
+        contents.push(content);
+        self.suspects.lose(now, &contents, None);
+        contents
+    }
+
     /// What the platform told this router.
     pub const fn lookout(&mut self) -> &mut Lookout {
         &mut self.lookout
--- a/crates/cornelpass-router/src/gateway.rs
+++ b/crates/cornelpass-router/src/gateway.rs
@@ -4,6 +4,7 @@
 //! to date from the platform and [`peers`] from the other routers, [`relay`] takes requests from the callers' side and [`exchange`] makes
 //! one attempt at one target.
 
+pub mod crash;
 pub mod exchange;
 pub mod follow;
 pub mod known;
--- a/crates/cornelpass-router/src/gateway/exchange.rs
+++ b/crates/cornelpass-router/src/gateway/exchange.rs
@@ -60,6 +60,12 @@
         Self::failed(reason, Run::Unknown, true)
     }
 
+    /// Whether the target broke the connection after it had the request.
+    #[must_use]
+    pub const fn is_broken(&self) -> bool {
+        matches!(self, Self::Failed { reason: Reason::TargetLost, run: Run::Unknown, .. })
+    }
+
     /// What it says of the target's health.
     #[must_use]
     pub const fn evidence(&self) -> Option<health::Outcome> {
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -7,8 +7,10 @@
 use bytes::Bytes;
 use cornelpass_caller::gateway::{self, Message, Piece};
 use cornelpass_caller::problem::Problem;
+use cornelpass_core::admission::suspect;
 use cornelpass_core::course::{Course, Ended, Next, Terms};
 use cornelpass_core::events::Events;
+use cornelpass_core::fleet::Choice;
 use cornelpass_core::plan::{Limits, Plan};
 use cornelpass_core::refusal::{Reason, Run};
 use cornelpass_core::request::Request;
@@ -19,6 +21,7 @@
 use tokio::sync::mpsc::{self, Receiver, Sender};
 use tokio::time::timeout;
 
+use super::crash;
 use super::exchange::{Answer, Outcome};
 use super::state::State;
 
@@ -122,13 +125,18 @@
 }
 
 /// Makes one attempt.
-async fn attempt(state: &State, answer: &mut Answer<'_>, progress: &mut Progress) -> Step {
+async fn attempt(state: &Arc<State>, answer: &mut Answer<'_>, progress: &mut Progress) -> Step {
     let request = answer.request;
     let now = state.clock.now();
     if request.left(now).is_zero() {
         progress.reason = Reason::DeadlineExceeded;
         return finish(answer, progress).await;
     }
+    let standing = state.fleet().suspects().standing(now, request.digest);
+    if standing == suspect::Standing::Blocked {
+        progress.reason = Reason::SuspectedCrash;
+        return finish(answer, progress).await;
+    }
     let chosen = state.fleet().choose(now, request, &progress.course);
     let choice = match chosen {
         Ok(choice) => choice,
@@ -139,7 +147,7 @@
             return finish(answer, progress).await;
         }
     };
-    state.fleet().sent(now, &choice.target);
+    state.fleet().sent(now, &choice.target, request.digest);
     log!(
         Code::Routed,
         id = request.id,
@@ -153,16 +161,22 @@
         fetch = choice.fetch.as_ref().map_or(0, |fetch| fetch.tokens)
     );
     let outcome = answer.attempt(state, &choice, patience(request, &progress.course, now)).await;
-    note(state, &choice.target, &outcome);
+    note(state, request, &choice, &outcome);
     ended(state, answer, progress, &choice.target, outcome).await
 }
 
 /// Takes what the end of an attempt says of its target.
-fn note(state: &State, target: &str, outcome: &Outcome) {
-    let (before, after) = state.fleet().ended(state.clock.now(), target, outcome.evidence());
+fn note(state: &Arc<State>, request: &Request, choice: &Choice, outcome: &Outcome) {
+    let (target, content, evidence) = (&choice.target, request.digest, outcome.evidence());
+    let ended = state.fleet().ended(state.clock.now(), target, content, evidence);
+    let (before, after) = ended;
     if before != after {
         log!(Code::TargetStanding, target, %before, %after);
     }
+    if outcome.is_broken() {
+        let (state, target) = (Arc::clone(state), target.clone());
+        tokio::spawn(crash::look(state, target, choice.address, content));
+    }
 }
 
 /// Time for the head of an answer, after which another target is tried.
@@ -235,7 +249,8 @@
         answer.give(Piece::End).await;
         return Step::Done;
     }
-    let wait = (effect == Run::NotRun).then_some(progress.wait);
+    let returns = effect == Run::NotRun && progress.reason != Reason::SuspectedCrash;
+    let wait = returns.then_some(progress.wait);
     let problem = Problem::new(progress.reason, effect).retry_after(wait);
     log!(Code::Refused, id, reason = progress.reason.name(), run = %effect);
     answer.give(Piece::Problem(problem)).await;
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -53,6 +53,12 @@
     }
 }
 
+/// The contents of a list that fit a report.
+fn contents(mut list: Vec<u64>) -> Vec<u64> {
+    list.truncate(report::LIST_LIMIT);
+    list
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -165,7 +171,7 @@
             leaving,
             loads: fleet.loads().list(),
             failures: fleet.failures(now),
-            contents: Vec::new(),
+            contents: contents(fleet.suspects().list(now)),
             reads: fleet.parts().news(report::read_limit(others)),
             listed_ms: fleet.lookout().age_ms(now),
             changes: fleet.lookout().news(now),
