fix(core): weigh old reports against the usual load of other routers

Cause: with 28 routers a report is some 700 ms old, longer than most requests last, and says little of a target's load now; all routers that read it avoid or seek the same targets at once. Ruled out: a lower bound for each router's own part alone, which refuses a hot key room that is there. Change: the load told is taken in part only, the older the less; the rest is the average that the target usually carries for the others. The unused data centre of a fleet is gone.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -106,6 +106,8 @@
     missing: Option<Instant>,
     health: Health,
     gate: Gate,
+    /// Usual load of the other routers, in requests.
+    usual: f64,
 }
 
 impl Record {
@@ -188,6 +190,9 @@
 /// Part of the bound up to which a router need not keep to its own part of it, however old that is.
 const LEAST_FREE_PART: f64 = 0.4;
 
+/// Part by which a round of reports moves the usual load of a target.
+const USUAL_PART: f64 = 0.3;
+
 /// Time after which a refused request may find room, where nothing says when.
 const ROOM_WAIT: Duration = Duration::from_millis(200);
 
@@ -195,7 +200,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     bounds: Bounds,
-    data_centre: String,
     records: BTreeMap<String, Record>,
     closed: BTreeSet<String>,
     cold_rates: BTreeMap<String, f64>,
@@ -209,10 +213,10 @@
 }
 
 impl Fleet {
-    /// A fleet without targets, seen from a data centre.
+    /// A fleet without targets.
     #[must_use]
-    pub fn new(data_centre: &str, bounds: Bounds) -> Self {
-        Self { bounds, data_centre: data_centre.to_owned(), ..Self::default() }
+    pub fn new(bounds: Bounds) -> Self {
+        Self { bounds, ..Self::default() }
     }
 
     /// Takes the cold rates of the services, in requests a second.
@@ -242,7 +246,8 @@
             }
             None => {
                 let (health, gate) = (Health::default(), Gate::default());
-                let record = Record { row, revision, cold_until, missing: None, health, gate };
+                let (missing, usual) = (None, 0.0);
+                let record = Record { row, revision, cold_until, missing, health, gate, usual };
                 self.records.insert(name.to_owned(), record);
                 true
             }
@@ -313,8 +318,13 @@
         let contents: Vec<u64> =
             self.peers.reports(now).flat_map(|report| report.contents.iter().copied()).collect();
         self.suspects.merge(now, &contents);
+        // Each of the others contributes to the average as often as it tells.
+        let part = USUAL_PART / self.peers.members(now).saturating_sub(1).max(1) as f64;
         for (name, record) in &mut self.records {
-            record.health.told(now, self.peers.failures(now, report::short(name)));
+            let short = report::short(name);
+            record.health.told(now, self.peers.failures(now, short));
+            let load = f64::from(self.peers.load(now, short));
+            record.usual += (load - record.usual) * part;
         }
         news
     }
@@ -565,9 +575,12 @@
     /// own part of the bound.
     fn candidate<'a>(&self, name: &'a str, bound: u32, now: Instant) -> Candidate<'a> {
         let members = u32::try_from(self.peers.members(now)).unwrap_or(u32::MAX);
-        let (load, own) = (self.load(name, now), self.loads.of(name));
+        let own = self.loads.of(name);
         let blind = self.peers.age(now).as_secs_f64() / BLIND_AGE.as_secs_f64();
         let free_part = (1.0 - blind).max(LEAST_FREE_PART);
+        let told = f64::from(self.peers.load(now, report::short(name)));
+        let usual = self.records[name].usual;
+        let load = own + (usual + (told - usual) * (-blind).exp()).round() as u32;
         let crowded = f64::from(load) >= f64::from(bound) * free_part && own > bound / members;
         let load = if crowded { load.max(bound) } else { load };
         Candidate::new(name, 1).load(load, bound)
