fix(router): take the configuration from other routers where the platform turns this one away

Ruled out: a late answer of the store (it refused every call for 9 s). Change: a router that is told of a higher revision asks the platform, and 300 ms later the routers that know it.

--- a/crates/cornelpass-router/src/gateway/known.rs
+++ b/crates/cornelpass-router/src/gateway/known.rs
@@ -1,4 +1,4 @@
-//! What a router knows from the platform, as it tells it to a router that can not ask the platform.
+//! What a router knows from the platform, as it tells it to one that gets no answer there.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -12,6 +12,8 @@
 /// What a router knows.
 #[derive(Serialize, Deserialize)]
 pub struct Known {
+    /// Highest revision of what the operators have written.
+    orders: u64,
     plan: Plan,
     /// Data centres that are out of service.
     closed: BTreeSet<String>,
@@ -25,6 +27,7 @@
     /// What a gateway knows; nothing before it has a configuration.
     #[must_use]
     pub fn of(state: &State) -> Option<Self> {
+        let orders = state.orders();
         let plan = Plan::clone(&*state.plan()?);
         let mut fleet = state.fleet();
         let targets = fleet
@@ -33,7 +36,7 @@
             .collect();
         let closed = fleet.closed().clone();
         let routers = fleet.peers().addresses().collect();
-        Some(Self { plan, closed, targets, routers })
+        Some(Self { orders, plan, closed, targets, routers })
     }
 
     /// Version of the configuration.
@@ -53,10 +56,11 @@
             for address in self.routers {
                 fleet.peers().name(now, address);
             }
-            if state.plan().is_none() {
+            if self.orders > state.orders() {
                 fleet.close(self.closed);
             }
         }
         state.offer(self.plan);
+        state.ordered(self.orders);
     }
 }
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -36,6 +36,9 @@
 /// Pause between two rounds of questions.
 const ASK_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time for the platform to tell what another router knows already.
+const PLATFORM_WAIT: Duration = Duration::from_millis(300);
+
 /// Largest answer, in bytes.
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 
@@ -87,16 +90,35 @@
     }
 }
 
-/// Asks the other routers for what they know, until there is a configuration.
+/// Asks the other routers for what they know, until there is a configuration, and later whenever
+/// they know more than the platform tells this one.
 pub async fn ask(state: Arc<State>, port: u16) {
+    start(&state, port).await;
+    loop {
+        state.lagging().await;
+        sleep(PLATFORM_WAIT).await;
+        let own = state.orders();
+        let now = state.clock.now();
+        let ahead: Vec<SocketAddr> = state
+            .fleet()
+            .peers()
+            .told(now)
+            .filter(|(_, _, report)| report.orders > own)
+            .map(|(address, ..)| address)
+            .collect();
+        for address in ahead {
+            if state.is_behind() {
+                take_from(&state, address, port).await;
+            }
+        }
+    }
+}
+
+async fn start(state: &Arc<State>, port: u16) {
     while state.plan().is_none() {
         let others: Vec<SocketAddr> = state.fleet().peers().addresses().collect();
         for address in others {
-            let address = SocketAddr::new(address.ip(), port);
-            if let Some(known) = fetch(address).await {
-                log!(Code::ConfigFromPeer, router = %address, version = known.version());
-                known.apply(&state);
-            }
+            take_from(state, address, port).await;
             if state.plan().is_some() {
                 return;
             }
@@ -105,6 +127,16 @@
     }
 }
 
+/// Takes what another router knows.
+async fn take_from(state: &State, router: SocketAddr, port: u16) {
+    // All routers of a deployment use the same ports.
+    let address = SocketAddr::new(router.ip(), port);
+    if let Some(known) = fetch(address).await {
+        log!(Code::ConfigFromPeer, router = %address, version = known.version());
+        known.apply(state);
+    }
+}
+
 async fn fetch(address: SocketAddr) -> Option<Known> {
     let exchange = async {
         let connection = Connection::open_within(address, ASK_TIMEOUT).await.ok()?;
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -36,8 +36,12 @@
     budgets: Mutex<Budgets>,
     /// Highest revision of what the operators have written, as far as is known.
     orders: AtomicU64,
-    /// Another router knows a higher one.
+    /// Highest such revision that another router knows.
+    told_orders: AtomicU64,
+    /// Another router knows a higher one, which the platform is asked for.
     behind: Notify,
+    /// The same, which the other router is asked for if the platform does not answer.
+    lagging: Notify,
     draining: AtomicBool,
     open: AtomicUsize,
 }
@@ -96,7 +100,9 @@
             fleet: Mutex::new(fleet),
             budgets: Mutex::new(Budgets::new(terms)),
             orders: AtomicU64::new(0),
+            told_orders: AtomicU64::new(0),
             behind: Notify::new(),
+            lagging: Notify::new(),
             draining: AtomicBool::new(false),
             open: AtomicUsize::new(0),
         }
@@ -140,11 +146,30 @@
 
     /// Another router knows what the operators have written up to a revision.
     pub fn told_of_orders(&self, revision: u64) {
-        if revision > self.orders.load(Ordering::SeqCst) {
+        self.told_orders.fetch_max(revision, Ordering::SeqCst);
+        if self.is_behind() {
             self.behind.notify_one();
+            self.lagging.notify_one();
         }
     }
 
+    /// Highest revision of what the operators have written, as far as this router holds it.
+    #[must_use]
+    pub fn orders(&self) -> u64 {
+        self.orders.load(Ordering::SeqCst)
+    }
+
+    /// Whether another router knows more of what the operators have written.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.told_orders.load(Ordering::SeqCst) > self.orders()
+    }
+
+    /// Returns when another router knows more, once for each time that it is told.
+    pub async fn lagging(&self) {
+        self.lagging.notified().await;
+    }
+
     /// Returns when another router knows more of what the operators have written.
     pub async fn behind(&self) {
         self.behind.notified().await;
@@ -167,7 +192,7 @@
             incarnation,
             sequence,
             version,
-            orders: self.orders.load(Ordering::SeqCst),
+            orders: self.orders(),
             leaving,
             loads: fleet.loads().list(now),
             failures: fleet.failures(now),
