feat(router): keep the homes of prompt parts on the platform for routers that start

Cause: a third of the moves without a fetch fell into the seconds after the final fault, in which all routers start anew: they placed prompts by hash, while parts had moved with releases and failures. Ruled out: asking the engines for what they hold (priced as probes, and delays their work); asking other routers (none is left). Change: one router writes the list of holders to the platform whenever it has changed, at most every 3 s, and each router reads it once when it starts.

--- a/crates/cornelpass-core/src/fleet/lookout.rs
+++ b/crates/cornelpass-core/src/fleet/lookout.rs
@@ -69,9 +69,20 @@
 /// Whether a router at an address has to ask often.
 #[must_use]
 pub fn asks_often(now: Instant, own: SocketAddr, peers: &Peers) -> bool {
+    before(now, own, peers) < LOOKOUTS
+}
+
+/// Whether a router at an address writes what the routers keep on the platform.
+#[must_use]
+pub fn writes_notes(now: Instant, own: SocketAddr, peers: &Peers) -> bool {
+    before(now, own, peers) == 0
+}
+
+/// Routers that ask often and come before an address.
+fn before(now: Instant, own: SocketAddr, peers: &Peers) -> usize {
     let often = peers.told(now).filter(|(address, age, report)| {
         let age = *age + Duration::from_millis(u64::from(report.listed_ms));
         *address < own && age <= FRESH && !report.leaving
     });
-    often.count() < LOOKOUTS
+    often.count()
 }
--- a/crates/cornelpass-core/src/fleet/parts.rs
+++ b/crates/cornelpass-core/src/fleet/parts.rs
@@ -75,6 +75,22 @@
         self.news.drain(..count).collect()
     }
 
+    /// All readings that are known, at most a number of them.
+    #[must_use]
+    pub fn list(&self, limit: usize) -> Vec<Read> {
+        let reads = self.holders.iter().flat_map(|(part, targets)| {
+            targets.keys().map(|target| Read { part: *part, target: *target })
+        });
+        reads.take(limit).collect()
+    }
+
+    /// Takes readings from before this router's start, which later ones go before.
+    pub fn recall(&mut self, now: Instant, reads: &[Read]) {
+        for read in reads {
+            self.holders.entry(read.part).or_default().entry(read.target).or_insert(now);
+        }
+    }
+
     /// Forgets what a target held.
     pub fn forget(&mut self, target: &str) {
         let target = short(target);
--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -48,6 +48,10 @@
     PlatformReachable = 203,
     /// A configuration was taken from a peer.
     ConfigFromPeer = 204,
+    /// The targets that hold parts of prompts were read from the platform.
+    HomesRecalled = 205,
+    /// A note on the platform can not be read.
+    NoteUnreadable = 206,
     /// A connection to a target's process is open.
     LinkOpened = 300,
     /// A connection to a target's process was lost or is silent.
@@ -112,6 +116,7 @@
             | Self::LinkLost
             | Self::PeerLost
             | Self::PeerUnreadable
+            | Self::NoteUnreadable
             | Self::AnswerCut
             | Self::TargetRestarted
             | Self::TargetLost
--- a/crates/cornelpass-platform/src/feed.rs
+++ b/crates/cornelpass-platform/src/feed.rs
@@ -117,4 +117,18 @@
         address: std::net::SocketAddr,
         patience: Duration,
     ) -> Result<(), Error>;
+
+    /// Writes a note that the routers keep for those that start later.
+    ///
+    /// # Errors
+    ///
+    /// When the platform gives no whole answer within `patience`, or refuses.
+    async fn write_note(&self, name: &str, note: &[u8], patience: Duration) -> Result<(), Error>;
+
+    /// Reads a note, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// When the platform gives no whole answer within `patience`, or refuses.
+    async fn read_note(&self, name: &str, patience: Duration) -> Result<Option<Vec<u8>>, Error>;
 }
--- a/crates/cornelpass-router/src/gateway.rs
+++ b/crates/cornelpass-router/src/gateway.rs
@@ -7,6 +7,7 @@
 pub mod crash;
 pub mod exchange;
 pub mod follow;
+pub mod homes;
 pub mod known;
 pub mod peers;
 pub mod relay;
--- /dev/null
+++ b/crates/cornelpass-router/src/gateway/homes.rs
@@ -0,0 +1,71 @@
+//! Keeps on the platform which targets hold which parts of prompts, for routers that start.
+//!
+//! When all routers were lost, their successors would place prompts by hash alone, and parts that
+//! have moved since would be read again. The list is a hint: what it says wrongly costs one reading.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelpass_core::fleet::lookout;
+use cornelpass_core::report::Read;
+use cornelpass_operator::event::Code;
+use cornelpass_operator::log;
+use cornelpass_platform::feed::Feed;
+use tokio::time::sleep;
+
+use super::state::State;
+
+/// Name of the note.
+const NOTE: &str = "homes";
+
+/// Time between two looks at whether the list has changed; parts move seldom.
+const WRITE_PERIOD: Duration = Duration::from_secs(3);
+
+/// Time for an answer of the platform.
+const PATIENCE: Duration = Duration::from_millis(600);
+
+/// Most readings in the list: as many as surely fit a row of 64 KiB.
+const LIST_LIMIT: usize = 4_096;
+
+/// Reads the list once, then writes it whenever it has changed and this router is to do so.
+pub async fn run(state: Arc<State>, feed: Arc<dyn Feed>) {
+    let mut written = match feed.read_note(NOTE, PATIENCE).await {
+        Ok(note) => recall(&state, &note.unwrap_or_default()),
+        Err(error) => {
+            log!(Code::PlatformUnreachable, call = "read_note", %error);
+            Vec::new()
+        }
+    };
+    loop {
+        sleep(WRITE_PERIOD).await;
+        let now = state.clock.now();
+        let reads = {
+            let mut fleet = state.fleet();
+            let writes = lookout::writes_notes(now, state.address, fleet.peers());
+            writes.then(|| fleet.parts().list(LIST_LIMIT))
+        };
+        let Some(reads) = reads.filter(|reads| *reads != written) else { continue };
+        let note = postcard::to_stdvec(&reads).unwrap_or_default();
+        match feed.write_note(NOTE, &note, PATIENCE).await {
+            Ok(()) => written = reads,
+            Err(error) => log!(Code::PlatformUnreachable, call = "write_note", %error),
+        }
+    }
+}
+
+fn recall(state: &State, note: &[u8]) -> Vec<Read> {
+    if note.is_empty() {
+        return Vec::new();
+    }
+    match postcard::from_bytes::<Vec<Read>>(note) {
+        Ok(reads) => {
+            state.fleet().parts().recall(state.clock.now(), &reads);
+            log!(Code::HomesRecalled, parts = reads.len());
+            reads
+        }
+        Err(error) => {
+            log!(Code::NoteUnreadable, note = NOTE, %error);
+            Vec::new()
+        }
+    }
+}
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -27,7 +27,7 @@
 
 use super::relay::Relay;
 use super::state::State;
-use super::{follow, peers};
+use super::{follow, homes, peers};
 
 /// Time for which a stopping gateway goes on accepting: the platform asks once a second whether it
 /// is ready, and sends new connections until the second "no".
@@ -92,6 +92,7 @@
     for topic in [Topic::Operators, Topic::Targets, Topic::Routers] {
         tokio::spawn(follow::run(Arc::clone(&state), feed.clone(), topic, settings.bounds.clone()));
     }
+    tokio::spawn(homes::run(Arc::clone(&state), feed.clone()));
     meet(&state, &settings, feed).await?;
     let (_kept, fixed) = watch::channel(Limits::default());
     let (_serving, always) = watch::channel(Stage::Serving);
