fix(core): a router is not its own peer

Cause: a router that starts learns the addresses of the routers from another one, its own among them, tells itself its load, and counts it twice (event 302 with the router's own address after a restart). Change: a router's own address is ignored among its peers. Test: a_router_is_not_its_own_peer.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -222,6 +222,12 @@
         Self { bounds, ..Self::default() }
     }
 
+    /// Tells the address of this router, for other routers' reports.
+    #[must_use]
+    pub fn at(self, address: SocketAddr) -> Self {
+        Self { peers: Peers::of(address), ..self }
+    }
+
     /// Takes the cold rates of the services, in requests a second.
     pub fn configure(&mut self, cold_rates: BTreeMap<String, f64>) {
         self.cold_rates = cold_rates;
--- a/crates/cornelpass-core/src/peers.rs
+++ b/crates/cornelpass-core/src/peers.rs
@@ -49,6 +49,8 @@
 /// The other routers.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
+    /// This router's own address, which others may tell.
+    own: Option<SocketAddr>,
     peers: BTreeMap<SocketAddr, Peer>,
 }
 
@@ -59,8 +61,17 @@
         Self::default()
     }
 
-    /// A router that the platform or the settings name.
+    /// The other routers of one at an address.
+    #[must_use]
+    pub fn of(own: SocketAddr) -> Self {
+        Self { own: Some(own), ..Self::default() }
+    }
+
+    /// A router that the platform, the settings or another router name.
     pub fn name(&mut self, now: Instant, address: SocketAddr) {
+        if self.own == Some(address) {
+            return;
+        }
         let (period, report) = (report::MIN_PERIOD, Report::default());
         let fresh = Peer { known: now, heard: None, period, report };
         self.peers.entry(address).or_insert(fresh).known = now;
@@ -68,6 +79,9 @@
 
     /// Takes a report.
     pub fn take(&mut self, now: Instant, address: SocketAddr, report: Report) -> News {
+        if self.own == Some(address) {
+            return News::Stale;
+        }
         let Some(peer) = self.peers.get_mut(&address) else {
             let period = report::MIN_PERIOD;
             self.peers.insert(address, Peer { known: now, heard: Some(now), period, report });
--- a/crates/cornelpass-core/tests/peers.rs
+++ b/crates/cornelpass-core/tests/peers.rs
@@ -46,6 +46,15 @@
     assert_eq!(peers.members(start + MEMBER_TIMEOUT), 2);
 }
 
+#[test]
+fn a_router_is_not_its_own_peer() {
+    let now = Instant::now();
+    let mut peers = Peers::of(address(1));
+    peers.name(now, address(1));
+    assert_eq!(peers.take(now, address(1), report(1, 1, &[(7, 3)])), News::Stale);
+    assert_eq!((peers.members(now), peers.load(now, 7)), (1, 0));
+}
+
 #[test]
 fn a_router_that_is_not_heard_of_is_forgotten() {
     let start = Instant::now();
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -88,7 +88,7 @@
             cold_slack: bounds.cold_slack,
             ..fleet::Bounds::default()
         };
-        let fleet = Fleet::new(bounds);
+        let fleet = Fleet::new(bounds).at(settings.listen.reports);
         Self {
             name: settings.instance.name.clone(),
             clock,
