feat(core): guess the holders of prompt parts, and notice changes of targets that were not told

Ruled out: a longer list in the reports, which would pass the aim of 4 KB/s for control. Change: readings at targets where others would not look are told first; a target that nobody is known to hold a prompt for fetches it from where the prompt's hash had its home; changes of targets are numbered, those of leaving targets are told first, and a router that misses one asks the platform; the other calls are made less often.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -102,6 +102,8 @@
     /// Revision of the entry.
     revision: u64,
     cold_until: Option<Instant>,
+    /// Since when it is known.
+    since: Instant,
     /// Since when its entry has been missing.
     missing: Option<Instant>,
     health: Health,
@@ -161,6 +163,18 @@
     data_centres: BTreeSet<&'a str>,
 }
 
+/// Targets in the order in which a prompt looks for its home.
+struct Home<'a> {
+    order: Vec<&'a str>,
+}
+
+impl Home<'_> {
+    /// Place of a target, from 0.
+    fn place(&self, target: &str) -> usize {
+        self.order.iter().position(|name| *name == target).unwrap_or_default()
+    }
+}
+
 /// How near a target is to the shared parts of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Nearness {
@@ -190,6 +204,9 @@
 /// Part of the bound up to which a router need not keep to its own part of it, however old that is.
 const LEAST_FREE_PART: f64 = 0.4;
 
+/// Time after which a target counts as a home that prompts have had: most come again within it.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// Part of the load multiple that is not used if all targets are avoided.
 const AVOIDED_PART: f64 = 0.5;
 
@@ -256,7 +273,9 @@
             None => {
                 let (health, gate) = (Health::default(), Gate::default());
                 let (missing, usual) = (None, 0.0);
-                let record = Record { row, revision, cold_until, missing, health, gate, usual };
+                let since = now;
+                let record =
+                    Record { row, revision, cold_until, since, missing, health, gate, usual };
                 self.records.insert(name.to_owned(), record);
                 true
             }
@@ -492,10 +511,7 @@
         let open = serving.into_iter().filter(|name| course.claim(name) != Claim::Barred);
         let candidates: Vec<Candidate<'_>> =
             open.map(|name| self.candidate(name, bound, now)).collect();
-        let order = match &request.prompt {
-            Some(prompt) => Plain.rank(prompt.key(), &candidates),
-            None => Vec::new(),
-        };
+        let home = request.prompt.as_ref().map(|prompt| self.home(now, prompt, &request.service));
         let mut ranked = match &request.prompt {
             Some(prompt) => {
                 let holding = self.holding(now, prompt);
@@ -517,8 +533,11 @@
             let record = &self.records[name];
             let (target, address) = (name.to_owned(), record.row.address);
             let standing = record.health.standing(now);
-            let place = order.iter().position(|other| *other == index).unwrap_or_default();
-            let fetch = request.prompt.as_ref().and_then(|prompt| self.fetch(now, name, prompt));
+            let place = home.as_ref().map_or(0, |home| home.place(name));
+            let fetch = request.prompt.as_ref().and_then(|prompt| {
+                let known = self.fetch(now, name, prompt);
+                known.or_else(|| self.guess(now, name, prompt, home.as_ref()?))
+            });
             Choice { target, address, load, bound, standing, place, fetch }
         };
         Ok(ranked.into_iter().map(choice).collect())
@@ -552,6 +571,46 @@
         Some(Fetch { address, tokens: source.tokens })
     }
 
+    /// The targets of a service, by the order in which a prompt looks for its home.
+    ///
+    /// Targets that are leaving are among them, since they still hold what they have read.
+    fn home(&self, now: Instant, prompt: &Prompt, service: &str) -> Home<'_> {
+        let listed = self.records.iter().filter(|(_, record)| {
+            record.row.service == service
+                && record.missing.is_none()
+                && record.health.standing(now) != Standing::Away
+        });
+        let listed: Vec<&str> = listed.map(|(name, _)| name.as_str()).collect();
+        let candidates: Vec<Candidate<'_>> =
+            listed.iter().map(|name| Candidate::new(name, 1)).collect();
+        let order = Plain.rank(prompt.key(), &candidates);
+        Home { order: order.into_iter().map(|index| listed[index]).collect() }
+    }
+
+    /// Where a target can probably fetch the parts of a prompt from, if nobody told who holds them.
+    ///
+    /// That is the home that the prompt would have had without the target, or without the targets
+    /// that came a short time ago.
+    fn guess(&self, now: Instant, target: &str, prompt: &Prompt, home: &Home<'_>) -> Option<Fetch> {
+        if self.parts.knows(prompt) || prompt.shared_tokens() < parts::LEAST_FETCH {
+            return None;
+        }
+        let is_settled = |name: &str| {
+            let since = self.records.get(name).map(|record| record.since);
+            since.is_some_and(|since| now.saturating_duration_since(since) > SETTLE_TIME)
+        };
+        let first = home.order.iter().find(|name| is_settled(name) || **name == target)?;
+        let other = match *first == target && is_settled(target) {
+            true => return None,
+            false if *first == target => {
+                home.order.iter().find(|name| is_settled(name) && **name != target)?
+            }
+            false => first,
+        };
+        let address = self.address(other)?;
+        Some(Fetch { address, tokens: prompt.shared_tokens() })
+    }
+
     fn holding(&self, now: Instant, prompt: &Prompt) -> Holding<'_> {
         let targets: BTreeSet<u32> = self.parts.holders(prompt).collect();
         let records = targets.iter().filter_map(|target| self.by_short(*target));
--- a/crates/cornelpass-core/src/fleet/lookout.rs
+++ b/crates/cornelpass-core/src/fleet/lookout.rs
@@ -5,10 +5,12 @@
 //! in case they are not told. Who is among the few follows from the reports alone: a router makes
 //! them often unless enough others do whose addresses come first.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::fleet::{Row, State};
 use crate::peers::Peers;
 use crate::report::{CHANGE_LIMIT, Change, MAX_AGE_MS};
 
@@ -28,9 +30,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct Lookout {
     listed: Option<Instant>,
-    changes: VecDeque<(Instant, Change)>,
-    /// Where the next report begins among the changes.
-    next: usize,
+    changes: VecDeque<Told>,
+    /// Changes so far.
+    count: u32,
+}
+
+/// A change, and how often it was told.
+#[derive(Clone, Debug)]
+struct Told {
+    at: Instant,
+    times: u32,
+    change: Change,
+}
+
+impl Told {
+    /// Whether it takes a target out of use.
+    fn is_urgent(&self) -> bool {
+        self.change.row.as_ref().is_none_or(|row| row.state == State::Leaving)
+    }
 }
 
 impl Lookout {
@@ -39,23 +56,33 @@
         self.listed = Some(now);
     }
 
-    /// An entry has changed, as the platform told.
-    pub fn changed(&mut self, now: Instant, change: Change) {
-        self.changes.retain(|(_, told)| told.name != change.name);
-        self.changes.push_back((now, change));
+    /// An entry has changed, as the platform told; it has no row if it was removed.
+    pub fn changed(&mut self, now: Instant, name: &str, revision: u64, row: Option<Row>) {
+        self.changes.retain(|told| told.change.name != name);
+        self.count += 1;
+        let change = Change { number: self.count, name: name.to_owned(), revision, row };
+        self.changes.push_back(Told { at: now, times: 0, change });
         let surplus = self.changes.len().saturating_sub(MEMORY_LIMIT);
         self.changes.drain(..surplus);
     }
 
-    /// Changes for the next report; more of them than fit are told in turn.
+    /// Number of the last change.
+    #[must_use]
+    pub const fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Changes for the next report: those told least often, first those that take a target out of use.
     pub fn news(&mut self, now: Instant) -> Vec<Change> {
-        self.changes.retain(|(at, _)| now.saturating_duration_since(*at) <= TELL_PERIOD);
-        let count = self.changes.len();
-        let told = count.min(CHANGE_LIMIT);
-        let start = self.next.checked_rem(count).unwrap_or_default();
-        self.next = start + told;
-        let order = (0..told).map(|step| (start + step) % count);
-        order.map(|index| self.changes[index].1.clone()).collect()
+        self.changes.retain(|told| now.saturating_duration_since(told.at) <= TELL_PERIOD);
+        let mut order: Vec<&mut Told> = self.changes.iter_mut().collect();
+        order.sort_by_key(|told| (told.times, Reverse(told.is_urgent())));
+        order.truncate(CHANGE_LIMIT);
+        let tell = |told: &mut Told| {
+            told.times += 1;
+            told.change.clone()
+        };
+        order.into_iter().map(tell).collect()
     }
 
     /// Age of what the platform told, in milliseconds.
--- a/crates/cornelpass-core/src/fleet/parts.rs
+++ b/crates/cornelpass-core/src/fleet/parts.rs
@@ -38,7 +38,9 @@
     holders: BTreeMap<u32, BTreeMap<u32, Instant>>,
     /// When a reading was last told.
     told: BTreeMap<Read, Instant>,
-    /// Readings to be told.
+    /// Readings to be told: first those at targets where others would not look.
+    moves: VecDeque<Read>,
+    /// The other readings to be told.
     news: VecDeque<Read>,
 }
 
@@ -49,17 +51,18 @@
 }
 
 impl Parts {
-    /// Notes that a target has read a prompt for this router.
-    pub fn read(&mut self, now: Instant, target: &str, prompt: &Prompt) {
+    /// Notes that a target has read a prompt for this router, and its place by hash, from 0.
+    pub fn read(&mut self, now: Instant, target: &str, prompt: &Prompt, place: usize) {
         let target = short(target);
+        let queue = if place > 0 { &mut self.moves } else { &mut self.news };
         for (part, _) in shared(prompt) {
             let read = Read { part, target };
-            self.note(now, read);
+            self.holders.entry(read.part).or_default().insert(read.target, now);
             let told = self.told.get(&read);
             let due = told.is_none_or(|at| now.saturating_duration_since(*at) > TELL_PERIOD);
-            if due && self.news.len() < TELL_LIMIT {
+            if due && queue.len() < TELL_LIMIT {
                 self.told.insert(read, now);
-                self.news.push_back(read);
+                queue.push_back(read);
             }
         }
     }
@@ -71,8 +74,9 @@
 
     /// Takes readings to be told, at most a number of them.
     pub fn news(&mut self, limit: usize) -> Vec<Read> {
-        let count = limit.min(self.news.len());
-        self.news.drain(..count).collect()
+        let moves = limit.min(self.moves.len());
+        let rest = (limit - moves).min(self.news.len());
+        self.moves.drain(..moves).chain(self.news.drain(..rest)).collect()
     }
 
     /// All readings that are known, at most a number of them.
@@ -120,6 +124,12 @@
         targets.into_iter().flat_map(|targets| targets.keys().copied())
     }
 
+    /// Whether any target is known to hold all shared parts of a prompt.
+    #[must_use]
+    pub fn knows(&self, prompt: &Prompt) -> bool {
+        self.holders(prompt).next().is_some()
+    }
+
     /// Who holds more of a prompt than a target, of those that may be asked; the first of those that
     /// are preferred, else the first one.
     #[must_use]
--- a/crates/cornelpass-core/src/peers.rs
+++ b/crates/cornelpass-core/src/peers.rs
@@ -4,7 +4,7 @@
 //! What it told counts for a few of its periods; its place in the division of budgets and cold rates
 //! is kept for longer, since a router that can not be heard may still send requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -31,6 +31,33 @@
     heard: Option<Instant>,
     period: Duration,
     report: Report,
+    changes: Changes,
+}
+
+/// Which of another router's numbered changes have arrived.
+#[derive(Clone, Debug, Default)]
+struct Changes {
+    /// All up to this number have arrived, or are known from the platform.
+    whole: u32,
+    /// Those after it that have arrived.
+    beyond: BTreeSet<u32>,
+    /// Since when some are missing.
+    missing: Option<Instant>,
+}
+
+impl Changes {
+    fn take(&mut self, now: Instant, report: &Report) {
+        self.beyond.extend(report.changes.iter().map(|change| change.number));
+        while self.beyond.remove(&(self.whole + 1)) {
+            self.whole += 1;
+        }
+        self.beyond.retain(|number| *number > self.whole);
+        if report.changed > self.whole {
+            self.missing.get_or_insert(now);
+        } else {
+            self.missing = None;
+        }
+    }
 }
 
 /// What became of a report.
@@ -73,7 +100,8 @@
             return;
         }
         let (period, report) = (report::MIN_PERIOD, Report::default());
-        let fresh = Peer { known: now, heard: None, period, report };
+        let changes = Changes::default();
+        let fresh = Peer { known: now, heard: None, period, report, changes };
         self.peers.entry(address).or_insert(fresh).known = now;
     }
 
@@ -84,7 +112,9 @@
         }
         let Some(peer) = self.peers.get_mut(&address) else {
             let period = report::MIN_PERIOD;
-            self.peers.insert(address, Peer { known: now, heard: Some(now), period, report });
+            let changes = Changes { whole: report.changed, ..Changes::default() };
+            let peer = Peer { known: now, heard: Some(now), period, report, changes };
+            self.peers.insert(address, peer);
             return News::Joined;
         };
         let restarted = peer.report.incarnation != report.incarnation;
@@ -100,10 +130,30 @@
             let gap = now.saturating_duration_since(heard);
             peer.period = (peer.period * 3 + gap) / 4;
         }
+        if restarted {
+            peer.changes = Changes { whole: report.changed, ..Changes::default() };
+        }
+        peer.changes.take(now, &report);
         (peer.known, peer.heard, peer.report) = (now, Some(now), report);
         news
     }
 
+    /// Whether changes that others know have been missing for a time.
+    #[must_use]
+    pub fn miss_changes(&self, now: Instant, since: Duration) -> bool {
+        self.peers.values().any(|peer| {
+            peer.changes.missing.is_some_and(|at| now.saturating_duration_since(at) >= since)
+        })
+    }
+
+    /// The platform has told this router all changes that the others told of so far.
+    pub fn caught_up(&mut self) {
+        for peer in self.peers.values_mut() {
+            let whole = peer.changes.whole.max(peer.report.changed);
+            peer.changes = Changes { whole, ..Changes::default() };
+        }
+    }
+
     /// Routers that were heard and have fallen silent since the last call.
     pub fn lost(&mut self, now: Instant) -> Vec<SocketAddr> {
         let mut lost = Vec::new();
--- a/crates/cornelpass-core/src/report.rs
+++ b/crates/cornelpass-core/src/report.rs
@@ -59,6 +59,8 @@
 /// A target's entry that has changed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
+    /// Number of the change at the router that tells it, from 1.
+    pub number: u32,
     /// Name of the target.
     pub name: String,
     /// Revision of the entry.
@@ -96,6 +98,8 @@
     pub reads: Vec<Read>,
     /// Time since the platform last told this router of the targets, in milliseconds.
     pub listed_ms: u16,
+    /// Number of the last change that the platform has told this router.
+    pub changed: u32,
     /// Entries that the platform has told this router to have changed a moment ago.
     pub changes: Vec<Change>,
 }
--- a/crates/cornelpass-core/tests/common/routers.rs
+++ b/crates/cornelpass-core/tests/common/routers.rs
@@ -152,7 +152,7 @@
         let choice = fleet.choose(now, request, &fresh(request))?;
         let ticket = fleet.sent(now, &choice.target, 1);
         if let Some(prompt) = &request.prompt {
-            fleet.parts().read(now, &choice.target, prompt);
+            fleet.parts().read(now, &choice.target, prompt, choice.place);
         }
         let target = choice.target.clone();
         *self.loads.entry(target.clone()).or_default() += 1;
--- a/crates/cornelpass-core/tests/peers.rs
+++ b/crates/cornelpass-core/tests/peers.rs
@@ -1,8 +1,11 @@
 //! Reports between routers: who is there, what still counts, and how often they are sent.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use common::routers::row;
 use cornelpass_core::fleet::lookout::{self, LOOKOUTS, Lookout};
 use cornelpass_core::peers::{FORGET_TIMEOUT, MEMBER_TIMEOUT, News, Peers};
 use cornelpass_core::report::{self, CHANGE_LIMIT, Change, Report};
@@ -101,7 +104,7 @@
     let count = CHANGE_LIMIT * 2 + 1;
     for number in 0..count {
         let name = format!("t-{number}");
-        lookout.changed(start, Change { name, revision: number as u64, row: None });
+        lookout.changed(start, &name, number as u64, None);
     }
     let mut told = std::collections::BTreeSet::new();
     for _ in 0..3 {
@@ -112,3 +115,51 @@
     assert_eq!(told.len(), count);
     assert!(lookout.news(start + Duration::from_secs(3)).is_empty());
 }
+
+fn told(sequence: u32, changed: u32, numbers: &[u32]) -> Report {
+    let change =
+        |number: &u32| Change { number: *number, name: String::new(), revision: 1, row: None };
+    let changes = numbers.iter().map(change).collect();
+    Report { incarnation: 1, sequence, changed, changes, ..Report::default() }
+}
+
+#[test]
+fn changes_that_did_not_arrive_are_missed_until_the_platform_tells_them() {
+    let start = Instant::now();
+    let limit = Duration::from_millis(800);
+    let mut peers = Peers::new();
+    peers.take(start, address(1), told(1, 4, &[4]));
+    peers.take(start, address(1), told(2, 6, &[6]));
+    assert!(!peers.miss_changes(start, limit), "it has not been missing for long");
+    assert!(peers.miss_changes(start + limit, limit));
+    peers.take(start, address(1), told(3, 6, &[5]));
+    assert!(!peers.miss_changes(start + limit, limit), "all have arrived, in another order");
+    peers.take(start, address(1), told(4, 9, &[]));
+    assert!(peers.miss_changes(start + limit, limit));
+    peers.caught_up();
+    assert!(!peers.miss_changes(start + limit, limit));
+}
+
+#[test]
+fn a_router_that_starts_again_counts_its_changes_anew() {
+    let start = Instant::now();
+    let mut peers = Peers::new();
+    peers.take(start, address(1), told(1, 40, &[]));
+    peers.take(start, address(1), Report { incarnation: 2, ..told(1, 2, &[]) });
+    assert!(!peers.miss_changes(start + Duration::from_secs(9), Duration::ZERO));
+}
+
+#[test]
+fn targets_that_leave_are_told_first() {
+    let start = Instant::now();
+    let mut lookout = Lookout::default();
+    for number in 0..CHANGE_LIMIT * 2 {
+        lookout.changed(start, &format!("new-{number}"), 1, Some(row(1, "a")));
+    }
+    lookout.changed(start, "gone", 2, None);
+    assert_eq!(lookout.news(start)[0].name, "gone");
+    assert!(
+        lookout.news(start).iter().all(|change| change.name != "gone"),
+        "others have their turn"
+    );
+}
--- a/crates/cornelpass-router/src/gateway/exchange.rs
+++ b/crates/cornelpass-router/src/gateway/exchange.rs
@@ -208,7 +208,8 @@
             return Outcome::Refused(parts.status, Box::new(headers), body.to_bytes());
         }
         if let Some(prompt) = &self.request.prompt {
-            state.fleet().parts().read(state.clock.now(), &sending.choice.target, prompt);
+            let Choice { target, place, .. } = &sending.choice;
+            state.fleet().parts().read(state.clock.now(), target, prompt, *place);
         }
         if self.request.form == Form::Events && success {
             self.weights = self.weights.or(weights);
--- a/crates/cornelpass-router/src/gateway/follow.rs
+++ b/crates/cornelpass-router/src/gateway/follow.rs
@@ -9,7 +9,6 @@
 use std::time::{Duration, Instant};
 
 use cornelpass_core::fleet::lookout;
-use cornelpass_core::report::Change;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use cornelpass_operator::settings::gateway::Bounds;
@@ -49,7 +48,11 @@
 const OFTEN_PART: f64 = 0.4;
 
 /// The same where other routers tell of the changes.
-const SELDOM_PAUSE: Duration = Duration::from_secs(4);
+const SELDOM_PAUSE: Duration = Duration::from_secs(10);
+
+/// Pause between two calls for changes of the routers, which start and stop many at a time; each also
+/// tells the others itself.
+const ROUTERS_PAUSE: Duration = Duration::from_secs(2);
 
 /// Time between two looks at whether they do.
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
@@ -101,8 +104,10 @@
             continue;
         }
         known.failures = 0;
-        if topic == Topic::Targets && !more {
-            pause(&state, bounds.drain.mul_f64(OFTEN_PART)).await;
+        match topic {
+            Topic::Targets if !more => pause(&state, bounds.drain.mul_f64(OFTEN_PART)).await,
+            Topic::Routers => sleep(ROUTERS_PAUSE).await,
+            Topic::Operators | Topic::Targets => {}
         }
     }
 }
@@ -115,13 +120,15 @@
     pause.min(MAX_RETRY_PAUSE).mul_f64(1.0 - RETRY_SPREAD * rand::random::<f64>())
 }
 
-/// Waits until the platform is to be asked for changes of the targets again.
+/// Waits until the platform is to be asked for changes of the targets again: soon if this router asks
+/// often or changes that another one told of did not arrive, else seldom.
 async fn pause(state: &State, often: Duration) {
     let begun = state.clock.now();
     sleep(often).await;
     loop {
         let waited = state.clock.now().saturating_duration_since(begun);
-        if asks_often(state) || waited >= SELDOM_PAUSE {
+        let misses = state.fleet().peers().miss_changes(state.clock.now(), often);
+        if misses || asks_often(state) || waited >= SELDOM_PAUSE {
             return;
         }
         sleep(LOOK_PERIOD).await;
@@ -194,7 +201,11 @@
 fn take(state: &State, topic: Topic, page: Page, whole: bool, closed: &mut BTreeSet<String>) {
     let now = state.clock.now();
     if topic == Topic::Targets {
-        state.fleet().lookout().listed(now);
+        let mut fleet = state.fleet();
+        fleet.lookout().listed(now);
+        if !page.more {
+            fleet.peers().caught_up();
+        }
     }
     if whole && topic == Topic::Targets {
         let name = |entry: &Entry| match &entry.fact {
@@ -222,15 +233,13 @@
             Fact::Target(name, row) => {
                 let mut fleet = state.fleet();
                 if fleet.list(now, &name, row.clone(), entry.revision) {
-                    let change = Change { name, revision: entry.revision, row: Some(row) };
-                    fleet.lookout().changed(now, change);
+                    fleet.lookout().changed(now, &name, entry.revision, Some(row));
                 }
             }
             Fact::Gone(name) => {
                 let mut fleet = state.fleet();
                 if fleet.unlist(now, &name, entry.revision) {
-                    let change = Change { name, revision: entry.revision, row: None };
-                    fleet.lookout().changed(now, change);
+                    fleet.lookout().changed(now, &name, entry.revision, None);
                 }
             }
             Fact::Unreadable { key, problem } => log!(Code::ConfigRejected, key, problem),
--- a/crates/cornelpass-router/src/gateway/homes.rs
+++ b/crates/cornelpass-router/src/gateway/homes.rs
@@ -19,7 +19,7 @@
 const NOTE: &str = "homes";
 
 /// Time between two looks at whether the list has changed; parts move seldom.
-const WRITE_PERIOD: Duration = Duration::from_secs(3);
+const WRITE_PERIOD: Duration = Duration::from_secs(5);
 
 /// Time for an answer of the platform.
 const PATIENCE: Duration = Duration::from_millis(600);
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -199,6 +199,7 @@
             contents: contents(fleet.suspects().list(now)),
             reads: fleet.parts().news(report::read_limit(others)),
             listed_ms: fleet.lookout().age_ms(now),
+            changed: fleet.lookout().count(),
             changes: fleet.lookout().news(now),
         }
     }
