fix(platform): let large answers of the platform take their time

Cause: an answer of the platform had 600 ms in all. A configuration of 1,560 routes takes a router on a link of 10 Mbit/s longer, so that it was cut off and asked for again, up to six times, and came into force after up to 7 s. Ruled out: a slow or refusing store (other routers had the version 90 ms after it was sent). Change: the time without any byte is bounded, not that of the whole answer; the same where a router asks another one. What was read takes a larger buffer. Tests: cornelpass-target, an_answer_that_keeps_coming_may_take_longer_than_the_patience and two more.

--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -64,6 +64,8 @@
     PeerLost = 304,
     /// Something other than a report came from another router.
     PeerUnreadable = 305,
+    /// Another router was asked what it knows, and did not answer.
+    PeerUnanswered = 306,
     /// A request was refused.
     Refused = 400,
     /// A request is tried again.
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -17,12 +17,13 @@
 use cornelpass_core::report::{self, Report};
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
-use cornelpass_target::connection::{Connection, host};
-use http_body_util::{BodyExt, Full, Limited};
+use cornelpass_target::connection::host;
+use cornelpass_target::whole::{self, Terms};
+use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::UdpSocket;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::known::Known;
 use super::state::State;
@@ -30,7 +31,7 @@
 /// Largest report, in bytes; it fits one packet.
 const REPORT_LIMIT: usize = 1400;
 
-/// Time for another router's answer.
+/// Time for the head of another router's answer, and without any byte of its body.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Pause between two rounds of questions.
@@ -138,16 +139,24 @@
 }
 
 async fn fetch(address: SocketAddr) -> Option<Known> {
-    let exchange = async {
-        let connection = Connection::open_within(address, ASK_TIMEOUT).await.ok()?;
-        let request = Request::get("/known").header(HOST, host(address));
-        let request = request.body(Full::new(Bytes::new())).ok()?;
-        let response = connection.send(request, ASK_TIMEOUT).await.ok()?;
-        let found = response.status() == StatusCode::OK;
-        let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await.ok()?;
-        if found { serde_json::from_slice(&body.to_bytes()).ok() } else { None }
-    };
-    timeout(ASK_TIMEOUT, exchange).await.ok()?
+    let request = Request::get("/known").header(HOST, host(address));
+    let request = request.body(Full::new(Bytes::new())).ok()?;
+    let terms = Terms { head: ASK_TIMEOUT, quiet: ASK_TIMEOUT, limit: ANSWER_LIMIT };
+    match whole::ask(address, request, terms).await {
+        Ok((StatusCode::OK, body)) => match serde_json::from_slice(&body) {
+            Ok(known) => Some(known),
+            Err(error) => {
+                log!(Code::PeerUnreadable, router = %address, %error);
+                None
+            }
+        },
+        // A router that knows nothing yet either.
+        Ok(_) => None,
+        Err(error) => {
+            log!(Code::PeerUnanswered, router = %address, %error);
+            None
+        }
+    }
 }
 
 /// Answers routers that ask.
--- a/crates/cornelpass-target/src/connection.rs
+++ b/crates/cornelpass-target/src/connection.rs
@@ -48,6 +48,19 @@
     ///
     /// [`Error::Unsent`].
     pub async fn open_within(address: SocketAddr, patience: Duration) -> Result<Self, Error> {
+        Self::open_buffered(address, patience, READ_BUFFER).await
+    }
+
+    /// Opens a connection with a buffer of a size in bytes for what arrives.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unsent`].
+    pub async fn open_buffered(
+        address: SocketAddr,
+        patience: Duration,
+        buffer: usize,
+    ) -> Result<Self, Error> {
         let unsent = |detail: String| Error::Unsent { detail };
         let stream = timeout(patience, TcpStream::connect(address))
             .await
@@ -55,7 +68,7 @@
             .map_err(|error| unsent(format!("connect: {error}")))?;
         stream.set_nodelay(true).map_err(|error| unsent(error.to_string()))?;
         let (sender, connection) = http1::Builder::new()
-            .read_buf_exact_size(Some(READ_BUFFER))
+            .read_buf_exact_size(Some(buffer))
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| unsent(format!("handshake: {error}")))?;
--- a/crates/cornelpass-target/src/lib.rs
+++ b/crates/cornelpass-target/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod error;
 pub mod pool;
 pub mod service;
+pub mod whole;
--- a/crates/cornelpass-target/tests/connection.rs
+++ b/crates/cornelpass-target/tests/connection.rs
@@ -14,6 +14,7 @@
 use cornelpass_target::engine::{Engine, Http as EngineHttp, Piece};
 use cornelpass_target::error::Error;
 use cornelpass_target::service::{Call, Http, Service};
+use cornelpass_target::whole::{self, Terms};
 
 const PATIENCE: Duration = Duration::from_millis(300);
 
@@ -23,6 +24,8 @@
     CloseAtAccept,
     ReadAndClose,
     Answer(&'static str),
+    /// Pieces with pauses between them, then silence.
+    Pieces(&'static [&'static str], Duration),
     Silence,
 }
 
@@ -73,6 +76,13 @@
             let _ = stream.write_all(answer.as_bytes());
             None
         }
+        Manner::Pieces(pieces, pause) => {
+            for piece in pieces {
+                let _ = stream.write_all(piece.as_bytes());
+                thread::sleep(pause);
+            }
+            Some(stream)
+        }
         Manner::Silence => Some(stream),
         Manner::ReadAndClose | Manner::CloseAtAccept => None,
     }
@@ -190,3 +200,31 @@
     assert!(matches!(pieces[1], Piece::Broken(Error::Lost { .. })), "{pieces:?}");
     assert_eq!(pieces.len(), 2);
 }
+
+const SLOW: &[&str] = &["HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "s", "l", "o", "w", "!"];
+const TERMS: Terms = Terms { head: PATIENCE, quiet: PATIENCE, limit: 1024 };
+
+fn ask(listener: &Listener, terms: Terms) -> Result<(hyper::StatusCode, bytes::Bytes), Error> {
+    let request = hyper::Request::get("/").body(http_body_util::Full::default()).unwrap();
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(whole::ask(listener.address, request, terms))
+}
+
+#[test]
+fn an_answer_that_keeps_coming_may_take_longer_than_the_patience() {
+    let listener = Listener::start(Manner::Pieces(SLOW, PATIENCE / 3));
+    let (status, body) = ask(&listener, TERMS).unwrap();
+    assert_eq!((status.as_u16(), &body[..]), (200, &b"slow!"[..]));
+}
+
+#[test]
+fn an_answer_that_falls_silent_is_lost() {
+    let listener = Listener::start(Manner::Pieces(&SLOW[..3], Duration::ZERO));
+    assert_eq!(ask(&listener, TERMS).unwrap_err().run(), Run::Unknown);
+}
+
+#[test]
+fn an_answer_that_is_too_large_is_lost() {
+    let listener = Listener::start(Manner::Pieces(SLOW, Duration::ZERO));
+    assert_eq!(ask(&listener, Terms { limit: 4, ..TERMS }).unwrap_err().run(), Run::Unknown);
+}
