fix(router): hold requests until the targets are known too

Change: a router is ready, and stops holding requests, when it knows both; either may come from another router.

--- a/crates/cornelpass-router/src/gateway/follow.rs
+++ b/crates/cornelpass-router/src/gateway/follow.rs
@@ -40,7 +40,7 @@
 /// Random part of a pause, so that routers do not ask in step.
 const RETRY_SPREAD: f64 = 0.3;
 
-/// The same while there is no configuration, for which callers wait.
+/// The same while there is nothing to serve by, for which callers wait.
 const START_PAUSE: Duration = Duration::from_millis(80);
 
 /// Pause between two calls for changes of targets, whose entries change all the time, as a part of
@@ -113,7 +113,7 @@
 }
 
 fn retry_pause(state: &State, failures: u32) -> Duration {
-    if state.plan().is_none() {
+    if state.served().is_none() {
         return START_PAUSE;
     }
     let pause = RETRY_PAUSE.saturating_mul(1 << failures.saturating_sub(1).min(8));
@@ -215,6 +215,7 @@
         let listed = page.entries.iter().filter_map(name).collect();
         state.fleet().retain(now, &listed, page.revision);
     }
+    let all_targets = whole && topic == Topic::Targets;
     if whole && topic == Topic::Operators {
         closed.clear();
     }
@@ -252,6 +253,9 @@
     if topic == Topic::Operators {
         state.fleet().close(closed.clone());
     }
+    if all_targets {
+        state.listed();
+    }
 }
 
 /// Writes this router's entry, until the platform has taken it.
--- a/crates/cornelpass-router/src/gateway/known.rs
+++ b/crates/cornelpass-router/src/gateway/known.rs
@@ -48,6 +48,7 @@
     /// Puts it into force where it is newer than what is known.
     pub fn apply(self, state: &State) {
         let now = state.clock.now();
+        let listed = !self.targets.is_empty();
         {
             let mut fleet = state.fleet();
             for (name, (row, revision)) in self.targets {
@@ -60,6 +61,9 @@
                 fleet.close(self.closed);
             }
         }
+        if listed {
+            state.listed();
+        }
         state.offer(self.plan);
         state.ordered(self.orders);
     }
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -116,11 +116,11 @@
 }
 
 async fn start(state: &Arc<State>, port: u16) {
-    while state.plan().is_none() {
+    while state.served().is_none() {
         let others: Vec<SocketAddr> = state.fleet().peers().addresses().collect();
         for address in others {
             take_from(state, address, port).await;
-            if state.plan().is_some() {
+            if state.served().is_some() {
                 return;
             }
         }
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -59,11 +59,11 @@
     }
 
     async fn plan(&self, wait: Duration) -> Result<Arc<Plan>, Problem> {
-        if let Some(plan) = self.state.plan() {
+        if let Some(plan) = self.state.served() {
             return Ok(plan);
         }
         let hold = wait.mul_f64(HOLD_PART);
-        if let Ok(plan) = timeout(hold, self.state.configured()).await {
+        if let Ok(plan) = timeout(hold, self.state.serving()).await {
             return Ok(plan);
         }
         // A fresh router of a fleet that was lost as a whole: the platform may be back at any time.
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -31,7 +31,11 @@
     pub pool: Pool,
     /// Address for other routers' reports.
     pub address: SocketAddr,
-    plan: watch::Sender<Option<Arc<Plan>>>,
+    plan: Mutex<Option<Arc<Plan>>>,
+    /// The configuration, once the targets are known as well.
+    served: watch::Sender<Option<Arc<Plan>>>,
+    /// Whether the targets are known.
+    listed: AtomicBool,
     fleet: Mutex<Fleet>,
     budgets: Mutex<Budgets>,
     /// Highest revision of what the operators have written, as far as is known.
@@ -96,7 +100,9 @@
             dialect,
             pool: Pool::new(),
             address: settings.listen.reports,
-            plan: watch::Sender::new(None),
+            plan: Mutex::new(None),
+            served: watch::Sender::new(None),
+            listed: AtomicBool::new(false),
             fleet: Mutex::new(fleet),
             budgets: Mutex::new(Budgets::new(terms)),
             orders: AtomicU64::new(0),
@@ -111,12 +117,18 @@
     /// The configuration in force, if there is one.
     #[must_use]
     pub fn plan(&self) -> Option<Arc<Plan>> {
-        self.plan.borrow().clone()
+        lock(&self.plan).clone()
     }
 
-    /// Returns when there is a configuration.
-    pub async fn configured(&self) -> Arc<Plan> {
-        let mut plans = self.plan.subscribe();
+    /// The configuration to serve by, if the targets are known as well.
+    #[must_use]
+    pub fn served(&self) -> Option<Arc<Plan>> {
+        self.served.borrow().clone()
+    }
+
+    /// Returns when there is a configuration to serve by.
+    pub async fn serving(&self) -> Arc<Plan> {
+        let mut plans = self.served.subscribe();
         loop {
             if let Some(plan) = plans.borrow_and_update().clone() {
                 return plan;
@@ -134,11 +146,26 @@
         }
         let rates = plan.services.iter().map(|(name, service)| (name.clone(), service.cold_rate));
         self.fleet().configure(rates.collect());
-        self.plan.send_replace(Some(Arc::new(plan)));
+        *lock(&self.plan) = Some(Arc::new(plan));
+        self.serve();
         self.metrics.version(version);
         log!(Code::ConfigApplied, version);
     }
 
+    /// All targets are known, as somebody told them.
+    pub fn listed(&self) {
+        if !self.listed.swap(true, Ordering::SeqCst) {
+            self.serve();
+        }
+    }
+
+    /// Serves by the configuration if the targets are known.
+    fn serve(&self) {
+        if self.listed.load(Ordering::SeqCst) {
+            self.served.send_replace(self.plan());
+        }
+    }
+
     /// Takes the revision of something that the operators have written.
     pub fn ordered(&self, revision: u64) {
         self.orders.fetch_max(revision, Ordering::SeqCst);
@@ -217,7 +244,7 @@
     /// Whether the platform may send new connections.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.draining.load(Ordering::SeqCst) && self.plan().is_some()
+        !self.draining.load(Ordering::SeqCst) && self.served().is_some()
     }
 
     /// Counts a request as in progress.
