--- a/crates/cornelpass-caller/src/phase.rs
+++ b/crates/cornelpass-caller/src/phase.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::task::Waker;
+
+use futures_util::task::AtomicWaker;
 
 /// Phase of one connection.
 #[derive(Debug, Default)]
@@ -14,6 +17,8 @@
     ambiguous: AtomicBool,
     /// Whether a part of the current request's body has not been read.
     unread: AtomicBool,
+    /// Task of the connection.
+    task: AtomicWaker,
 }
 
 impl Phase {
@@ -29,6 +34,11 @@
         (self.begun.load(Ordering::Relaxed) == ended).then_some(ended)
     }
 
+    /// Wakes a task when the current request has ended, since the wait for the next one begins then.
+    pub(crate) fn wake_at_end(&self, task: &Waker) {
+        self.task.register(task);
+    }
+
     /// Notes whether a part of the current request's body has not been read.
     pub(crate) fn set_unread(&self, unread: bool) {
         self.unread.store(unread, Ordering::Relaxed);
@@ -59,5 +69,6 @@
 impl Drop for Progress {
     fn drop(&mut self) {
         self.phase.ended.fetch_add(1, Ordering::Relaxed);
+        self.phase.task.wake();
     }
 }
--- a/crates/cornelpass-caller/src/stalled.rs
+++ b/crates/cornelpass-caller/src/stalled.rs
@@ -119,6 +119,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.phase.wake_at_end(context.waker());
         self.observe();
         let before = buffer.filled().len();
         match Pin::new(&mut self.stream).poll_read(context, buffer) {
