feat(router): show metrics of the gateway, and tell a request's story from logs

The gateway's address for operators was not served, so that nobody could fetch metrics. It now shows /metrics (counters and histograms of the catalogue in docs/METRICS.md, bounded in their number), /status, /healthz and /readyz. A request's log lines say by which configuration and by beliefs of which age it was routed. cornelpass-router trace ID prints one request's way from the logs of several processes, with the beliefs in force at each step. A target's own failure that was passed on at once (of a request that may not be repeated) counted as a good answer in the belief in its health; it is a failure now.

--- a/crates/cornelpass-caller/src/gateway.rs
+++ b/crates/cornelpass-caller/src/gateway.rs
@@ -161,6 +161,7 @@
         let rank = plan.organisations.get(&organisation).and_then(|row| row.rank);
         let request = request::Request {
             id: ask.id.clone(),
+            route: route.name.clone(),
             organisation,
             service,
             repeat: route.repeat,
--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -119,6 +119,21 @@
     }
 }
 
+/// How a target stands, for operators.
+#[derive(Clone, Debug)]
+pub struct Stand<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its entry.
+    pub row: &'a Row,
+    /// Whether the platform lists it.
+    pub listed: bool,
+    /// How this router thinks that it is.
+    pub standing: Standing,
+    /// Requests of all routers in progress there.
+    pub load: u32,
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -461,6 +476,17 @@
         listed.map(|(name, record)| (name.as_str(), &record.row, record.revision))
     }
 
+    /// How all targets that are remembered stand.
+    pub fn stands(&self, now: Instant) -> impl Iterator<Item = Stand<'_>> {
+        self.records.iter().map(move |(name, record)| Stand {
+            name,
+            row: &record.row,
+            listed: record.missing.is_none(),
+            standing: record.health.standing(now),
+            load: self.load(name, now),
+        })
+    }
+
     /// Data centres that are out of service.
     #[must_use]
     pub const fn closed(&self) -> &BTreeSet<String> {
--- a/crates/cornelpass-core/src/request.rs
+++ b/crates/cornelpass-core/src/request.rs
@@ -117,6 +117,8 @@
 pub struct Request {
     /// The caller's number of the request, unique in the fleet.
     pub id: String,
+    /// Name of the route that it came by.
+    pub route: String,
     /// Organisation of the caller; empty if it needs none.
     pub organisation: String,
     /// Model or service that it asks for.
--- a/crates/cornelpass-core/tests/common/routers.rs
+++ b/crates/cornelpass-core/tests/common/routers.rs
@@ -47,6 +47,7 @@
 pub(crate) fn request(now: Instant, repeat: Repeat, prompt: Option<Prompt>) -> Request {
     Request {
         id: "r".to_owned(),
+        route: "brief".to_owned(),
         organisation: "org".to_owned(),
         service: SERVICE.to_owned(),
         repeat,
--- a/crates/cornelpass-operator/src/lib.rs
+++ b/crates/cornelpass-operator/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod event;
 pub mod limit;
 pub mod metrics;
+pub mod process;
 pub mod settings;
 pub mod stop;
+pub mod story;
 pub mod writer;
--- a/crates/cornelpass-operator/src/metrics.rs
+++ b/crates/cornelpass-operator/src/metrics.rs
@@ -1,14 +1,17 @@
 //! Counters, gauges and histograms, in the text form that collectors scrape.
 
+pub mod gateway;
+mod sheet;
+
 use std::time::Duration;
 
 use cornelpass_core::refusal::Reason;
 use cornelpass_core::retry;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-use snafu::{ResultExt, Whatever};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use snafu::Whatever;
+
+use self::sheet::Sheet;
 
 /// Upper edges of the time histograms, in seconds.
 const SECONDS: [f64; 14] =
@@ -16,8 +19,7 @@
 
 /// Instruments of a process.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    sheet: Sheet,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
@@ -37,24 +39,10 @@
     ///
     /// Fails if the exporter can not be registered.
     pub fn new() -> Result<Self, Whatever> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .whatever_context("metrics exporter")?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("cornelpass");
-        let seconds = |name: &'static str, text: &'static str| {
-            let builder = meter.f64_histogram(name).with_unit("s").with_description(text);
-            builder.with_boundaries(SECONDS.to_vec()).build()
-        };
-        let counter = |name: &'static str, text: &'static str| {
-            meter.u64_counter(name).with_description(text).build()
-        };
-        let gauge = |name: &'static str, text: &'static str| {
-            meter.u64_gauge(name).with_description(text).build()
-        };
+        let sheet = Sheet::new()?;
+        let seconds = |name, text| sheet.times(name, text, &SECONDS);
+        let counter = |name, text| sheet.counter(name, text);
+        let gauge = |name, text| sheet.gauge(name, text);
         Ok(Self {
             requests: counter("cornelpass_requests", "Requests taken, by kind"),
             refusals: counter("cornelpass_refusals", "Requests refused or lost, by reason"),
@@ -66,8 +54,7 @@
             bound: gauge("cornelpass_bound", "Bound on the load of a target, in units of load"),
             first_token: seconds("cornelpass_first_token", "Time to the first token"),
             inter_token: seconds("cornelpass_inter_token", "Time between tokens"),
-            registry,
-            _provider: provider,
+            sheet,
         })
     }
 
@@ -119,8 +106,6 @@
     /// All instruments as text.
     #[must_use]
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        String::from_utf8_lossy(&text).into_owned()
+        self.sheet.render()
     }
 }
--- a/crates/cornelpass-operator/tests/catalogue.rs
+++ b/crates/cornelpass-operator/tests/catalogue.rs
@@ -1,10 +1,12 @@
 //! Code and catalogues name the same events, metrics and reasons.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::collections::BTreeSet;
 
 use cornelpass_core::{refusal, retry};
 use cornelpass_operator::event::Code;
-use cornelpass_operator::metrics::Metrics;
+use cornelpass_operator::metrics::{Metrics, gateway};
 use strum::IntoEnumIterator;
 
 fn page(name: &str) -> String {
@@ -34,6 +36,48 @@
     assert_eq!(listed, expected);
 }
 
+/// All instruments of a gateway, each used once.
+fn gateway() -> gateway::Metrics {
+    let metrics = gateway::Metrics::new().unwrap();
+    let time = std::time::Duration::ZERO;
+    metrics.ended("r", gateway::Ending::Refused, Some(refusal::Reason::Draining));
+    metrics.refused(refusal::Reason::Draining);
+    metrics.attempted("t", "answered");
+    metrics.retried(refusal::Reason::TargetLost);
+    metrics.called("read", "answered");
+    metrics.retry_budget("s", 3);
+    for record in [
+        gateway::Metrics::first_byte,
+        gateway::Metrics::event_gap,
+        gateway::Metrics::held,
+        gateway::Metrics::lag,
+    ] {
+        record(&metrics, time);
+    }
+    metrics.version(1);
+    metrics.open(1);
+    metrics.process();
+    metrics.ages(time, time, time);
+    metrics
+}
+
+#[test]
+fn the_number_of_series_is_bounded() {
+    let metrics = gateway::Metrics::new().unwrap();
+    for number in 0..gateway::NAME_LIMIT * 4 {
+        metrics.attempted(&format!("t-{number}"), "answered");
+        metrics.ended(&format!("r-{number}"), gateway::Ending::Answered, None);
+    }
+    let text = metrics.render();
+    for name in ["cornelpass_gateway_attempts_total{", "cornelpass_gateway_requests_total{"] {
+        let series = text.lines().filter(|line| line.starts_with(name)).count();
+        assert_eq!(series, gateway::NAME_LIMIT + 1);
+    }
+    let rest = (gateway::NAME_LIMIT * 3).to_string();
+    let other = |line: &&str| line.contains("target=\"other\"") && line.ends_with(&rest);
+    assert_eq!(text.lines().filter(other).count(), 1);
+}
+
 #[test]
 fn the_metrics_page_is_complete() {
     let metrics = Metrics::new().unwrap();
@@ -45,7 +89,7 @@
     metrics.load("engine-1", 1, 1);
     metrics.first_token(std::time::Duration::ZERO);
     metrics.inter_token(std::time::Duration::ZERO);
-    let text = metrics.render();
+    let text = metrics.render() + &gateway().render();
     let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE ")?.split(' ').next());
     let mut expected: BTreeSet<String> = names.map(str::to_owned).collect();
     expected.extend(refusal::Reason::iter().map(|reason| reason.name().to_owned()));
--- a/crates/cornelpass-router/src/cli.rs
+++ b/crates/cornelpass-router/src/cli.rs
@@ -7,6 +7,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use cornelpass_operator::cli::{self, Exit};
 use cornelpass_operator::settings::{self, Findings, Interface};
+use cornelpass_operator::story::Story;
 use cornelpass_router::{gateway, serve};
 
 /// The whole command line.
@@ -31,6 +32,7 @@
         .subcommand(check_command())
         .subcommand(cli::status_command())
         .subcommand(explain_command())
+        .subcommand(trace_command())
         .subcommand(table::command())
 }
 
@@ -67,6 +69,24 @@
         .arg(value("model", "Model that the chat asks for"))
 }
 
+fn trace_command() -> Command {
+    Command::new("trace")
+        .about("Tell one request's way from logs")
+        .long_about(
+            "Reads the logs of one or several processes, in JSON, and prints the steps of one \
+             request in order, with what each instance believed at the time. The exit code is 3 \
+             if no log names the request.",
+        )
+        .arg(Arg::new("id").value_name("ID").required(true).help("Caller's number of the request"))
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs; the standard input if there are none"),
+        )
+}
+
 /// Runs a command line.
 pub(crate) fn run(matches: &ArgMatches) -> Exit {
     match matches.subcommand() {
@@ -74,6 +94,7 @@
         Some(("check", matches)) => check(matches),
         Some(("status", matches)) => cli::status(matches),
         Some(("explain", matches)) => explain(matches),
+        Some(("trace", matches)) => trace(matches),
         Some(("table", matches)) => table::run(matches),
         _ => Exit::Usage,
     }
@@ -110,6 +131,33 @@
     }
 }
 
+fn trace(matches: &ArgMatches) -> Exit {
+    let id = matches.get_one::<String>("id").cloned().unwrap_or_default();
+    let files: Vec<PathBuf> = matches.get_many("logs").into_iter().flatten().cloned().collect();
+    let logs = if files.is_empty() {
+        std::io::read_to_string(std::io::stdin()).map(|text| vec![("-".to_owned(), text)])
+    } else {
+        files.iter().map(read_log).collect()
+    };
+    let story = match logs {
+        Ok(logs) => Story::of(&id, &logs),
+        Err(error) => return cli::fail(error, Exit::Usage),
+    };
+    if story.is_empty() {
+        return cli::fail(format!("no log names the request {id}"), Exit::Findings);
+    }
+    print!("{story}");
+    Exit::Done
+}
+
+/// A log, under the file's name without its ending.
+fn read_log(path: &PathBuf) -> std::io::Result<(String, String)> {
+    let bytes = std::fs::read(path)
+        .map_err(|error| std::io::Error::other(format!("{}: {error}", path.display())))?;
+    let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    Ok((name, String::from_utf8_lossy(&bytes).into_owned()))
+}
+
 fn explain(matches: &ArgMatches) -> Exit {
     let value = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
     let query = format!(
--- a/crates/cornelpass-router/src/gateway.rs
+++ b/crates/cornelpass-router/src/gateway.rs
@@ -1,9 +1,12 @@
 //! The gateway: requests that are passed on as they came, straight to the targets.
 //!
 //! [`state::State`] joins the configuration, the fleet and the retry budgets. [`follow`] keeps it up
-//! to date from the platform and [`peers`] from the other routers, [`relay`] takes requests from the callers' side and [`exchange`] makes
-//! one attempt at one target.
+//! to date from the platform and [`peers`] from the other routers; [`homes`] keeps on the platform
+//! where prompts have their parts. [`relay`] takes requests from the callers' side, [`exchange`] makes
+//! one attempt at one target, and [`crash`] looks whether a target crashed under it.
 
+pub mod console;
+pub mod counted;
 pub mod crash;
 pub mod exchange;
 pub mod follow;
--- /dev/null
+++ b/crates/cornelpass-router/src/gateway/console.rs
@@ -0,0 +1,70 @@
+//! What a gateway shows to operators and collectors, on an address of its own.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use cornelpass_caller::gateway::whole;
+use cornelpass_caller::response::Body;
+use cornelpass_caller::service::Service;
+use cornelpass_caller::tracked::Upload;
+use hyper::{Request, Response, StatusCode};
+use serde_json::{Value, json};
+
+use super::state::State;
+
+/// Answers operators and collectors.
+pub struct Console {
+    state: Arc<State>,
+}
+
+impl Console {
+    /// A console of a gateway.
+    #[must_use]
+    pub const fn new(state: Arc<State>) -> Self {
+        Self { state }
+    }
+
+    fn status(&self) -> Value {
+        let state = &self.state;
+        let now = state.clock.now();
+        let version = state.plan().map(|plan| plan.version);
+        let (list_age_ms, report_age_ms) = state.ages_ms();
+        let mut fleet = state.fleet();
+        let targets: Vec<Value> = fleet
+            .stands(now)
+            .map(|stand| {
+                json!({
+                    "target": stand.name, "service": stand.row.service,
+                    "data_centre": stand.row.data_centre, "state": stand.row.state,
+                    "listed": stand.listed, "standing": stand.standing.to_string(),
+                    "load": stand.load,
+                })
+            })
+            .collect();
+        json!({
+            "instance": state.name, "ready": state.is_ready(), "version": version,
+            "orders": state.orders(), "open": state.open(), "closed": fleet.closed(),
+            "list_age_ms": list_age_ms, "report_age_ms": report_age_ms,
+            "routers": fleet.peers().members(now), "targets": targets,
+        })
+    }
+
+    fn metrics(&self) -> String {
+        self.state.observe();
+        self.state.metrics.render()
+    }
+}
+
+#[async_trait]
+impl Service for Console {
+    async fn answer(&self, request: Request<Upload>) -> Response<Body> {
+        match request.uri().path() {
+            "/healthz" => whole(StatusCode::OK, "running\n"),
+            "/readyz" if self.state.is_ready() => whole(StatusCode::OK, "ready\n"),
+            "/readyz" => whole(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            "/status" => whole(StatusCode::OK, self.status().to_string()),
+            "/metrics" => whole(StatusCode::OK, self.metrics()),
+            _ => whole(StatusCode::NOT_FOUND, "no such page\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpass-router/src/gateway/counted.rs
@@ -0,0 +1,71 @@
+//! Calls to the platform, counted by kind and result.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use cornelpass_platform::error::Error;
+use cornelpass_platform::feed::{Changes, Feed, Page, Topic};
+use cornelpass_platform::table::Revision;
+
+use super::state::State;
+
+/// A feed whose calls are counted.
+pub struct Counted {
+    state: Arc<State>,
+    feed: Box<dyn Feed>,
+}
+
+impl Counted {
+    /// Counts the calls of a feed.
+    #[must_use]
+    pub fn new(state: Arc<State>, feed: Box<dyn Feed>) -> Self {
+        Self { state, feed }
+    }
+
+    fn count<T>(&self, kind: &'static str, answer: Result<T, Error>) -> Result<T, Error> {
+        let result = match &answer {
+            Ok(_) => "answered",
+            Err(Error::Unreachable { .. }) => "unreachable",
+            Err(Error::Lost { .. }) => "lost",
+            Err(_) => "rejected",
+        };
+        self.state.metrics.called(kind, result);
+        answer
+    }
+}
+
+#[async_trait]
+impl Feed for Counted {
+    async fn read(&self, topic: Topic, patience: Duration) -> Result<Page, Error> {
+        self.count("read", self.feed.read(topic, patience).await)
+    }
+
+    async fn changes(
+        &self,
+        topic: Topic,
+        since: Revision,
+        wait: Duration,
+        patience: Duration,
+    ) -> Result<Changes, Error> {
+        self.count("changes", self.feed.changes(topic, since, wait, patience).await)
+    }
+
+    async fn register(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        patience: Duration,
+    ) -> Result<(), Error> {
+        self.count("register", self.feed.register(name, address, patience).await)
+    }
+
+    async fn write_note(&self, name: &str, note: &[u8], patience: Duration) -> Result<(), Error> {
+        self.count("write_note", self.feed.write_note(name, note, patience).await)
+    }
+
+    async fn read_note(&self, name: &str, patience: Duration) -> Result<Option<Vec<u8>>, Error> {
+        self.count("read_note", self.feed.read_note(name, patience).await)
+    }
+}
--- a/crates/cornelpass-router/src/gateway/exchange.rs
+++ b/crates/cornelpass-router/src/gateway/exchange.rs
@@ -37,6 +37,8 @@
 pub enum Outcome {
     /// The caller has the whole answer.
     Whole,
+    /// The caller has the target's whole answer, which is a failure of its own.
+    Passed(StatusCode),
     /// The caller has gone.
     Gone,
     /// The target failed the request with an answer of its own.
@@ -61,6 +63,20 @@
         Self::failed(reason, Run::Unknown, true)
     }
 
+    /// Name in the metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Whole => "answered",
+            Self::Gone => "caller_gone",
+            Self::Refused(..) | Self::Passed(_) => "failed",
+            Self::Failed { run: Run::NotRun, arrived: true, .. } => "refused",
+            Self::Failed { arrived: false, .. } => "unreachable",
+            Self::Failed { reason: Reason::DeadlineExceeded, .. } => "late",
+            Self::Failed { .. } => "lost",
+        }
+    }
+
     /// Whether the target broke the connection after it had the request.
     #[must_use]
     pub const fn is_broken(&self) -> bool {
@@ -73,7 +89,7 @@
         match self {
             Self::Whole => Some(health::Outcome::Answered),
             Self::Gone => None,
-            Self::Refused(..) => Some(health::Outcome::Failed),
+            Self::Refused(..) | Self::Passed(_) => Some(health::Outcome::Failed),
             Self::Failed { arrived: false, .. } => Some(health::Outcome::Unreachable),
             // The request's own time was over, which says nothing of the target.
             Self::Failed { reason: Reason::DeadlineExceeded, .. } => None,
@@ -219,7 +235,11 @@
         if self.begun {
             return Outcome::lost(Reason::TargetError);
         }
-        self.body(state, Arrival { lease, aside, status: parts.status, headers, body }).await
+        let arrival = Arrival { lease, aside, status: parts.status, headers, body };
+        match self.body(state, arrival).await {
+            Outcome::Whole if !success => Outcome::Passed(parts.status),
+            outcome => outcome,
+        }
     }
 
     fn left(&self, state: &State) -> Duration {
@@ -238,12 +258,12 @@
             };
             let Ok(Ok(whole)) = whole else { return Outcome::lost(Reason::TargetError) };
             state.pool.keep(state.clock.now(), lease, idle(&aside));
-            self.begin(status, headers).await;
+            self.begin(state, status, headers).await;
             self.give(Piece::Data(whole.to_bytes())).await;
             self.give(Piece::End).await;
             return Outcome::Whole;
         }
-        self.begin(status, headers).await;
+        self.begin(state, status, headers).await;
         loop {
             let frame = tokio::select! {
                 frame = timeout(self.left(state), body.frame()) => frame,
@@ -269,8 +289,9 @@
     /// Passes whole events on.
     async fn stream(&mut self, state: &State, sending: &Sending, arrival: Arrival) -> Outcome {
         let Arrival { lease, aside, status, headers, mut body } = arrival;
-        self.begin(status, headers).await;
+        self.begin(state, status, headers).await;
         self.events.restart();
+        let mut heard = state.clock.now();
         loop {
             let frame = tokio::select! {
                 frame = timeout(self.left(state), body.frame()) => frame,
@@ -285,7 +306,10 @@
                 Ok(Some(Err(_))) => return Outcome::lost(Reason::TargetLost),
                 Err(_) => return Outcome::lost(Reason::DeadlineExceeded),
             };
-            state.fleet().sign(state.clock.now(), &sending.choice.target, sending.ticket);
+            let now = state.clock.now();
+            state.metrics.event_gap(now.saturating_duration_since(heard));
+            heard = now;
+            state.fleet().sign(now, &sending.choice.target, sending.ticket);
             let Ok(whole) = self.events.take(&data) else {
                 return Outcome::lost(Reason::TargetError);
             };
@@ -301,9 +325,11 @@
         Outcome::Whole
     }
 
-    async fn begin(&mut self, status: StatusCode, headers: HeaderMap) {
+    async fn begin(&mut self, state: &State, status: StatusCode, headers: HeaderMap) {
         if !self.begun {
             self.begun = true;
+            let arrived = self.request.begun;
+            state.metrics.first_byte(state.clock.now().saturating_duration_since(arrived));
             self.give(Piece::Head(status, Box::new(headers))).await;
         }
     }
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -15,6 +15,7 @@
 use cornelpass_core::request::Request;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
+use cornelpass_operator::metrics::gateway::Ending;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use tokio::sync::mpsc::{self, Receiver, Sender};
@@ -63,7 +64,10 @@
             return Ok(plan);
         }
         let hold = wait.mul_f64(HOLD_PART);
-        if let Ok(plan) = timeout(hold, self.state.serving()).await {
+        let begun = self.state.clock.now();
+        let plan = timeout(hold, self.state.serving()).await;
+        self.state.metrics.held(self.state.clock.now().saturating_duration_since(begun));
+        if let Ok(plan) = plan {
             return Ok(plan);
         }
         // A fresh router of a fleet that was lost as a whole: the platform may be back at any time.
@@ -129,12 +133,12 @@
     let now = state.clock.now();
     if request.left(now).is_zero() {
         progress.reason = Reason::DeadlineExceeded;
-        return finish(answer, progress).await;
+        return finish(state, answer, progress).await;
     }
     let standing = state.fleet().suspects().standing(now, request.digest);
     if standing == suspect::Standing::Blocked {
         progress.reason = Reason::SuspectedCrash;
-        return finish(answer, progress).await;
+        return finish(state, answer, progress).await;
     }
     let chosen = state.fleet().choose(now, request, &progress.course);
     let choice = match chosen {
@@ -143,10 +147,11 @@
             if progress.course.attempts() == 0 {
                 (progress.reason, progress.wait) = (refusal.reason, refusal.wait);
             }
-            return finish(answer, progress).await;
+            return finish(state, answer, progress).await;
         }
     };
     let ticket = state.fleet().sent(now, &choice.target, request.digest);
+    let (list_ms, reports_ms) = state.ages_ms();
     log!(
         Code::Routed,
         id = request.id,
@@ -158,7 +163,10 @@
         bound = choice.bound,
         standing = %choice.standing,
         place = choice.place,
-        fetch = choice.fetch.as_ref().map_or(0, |fetch| fetch.tokens)
+        fetch = choice.fetch.as_ref().map_or(0, |fetch| fetch.tokens),
+        version = state.plan().map_or(0, |plan| plan.version),
+        list_ms,
+        reports_ms
     );
     let patience = patience(request, &progress.course, now);
     let sending = Sending { choice, ticket, patience };
@@ -171,6 +179,7 @@
 fn note(state: &Arc<State>, request: &Request, sending: &Sending, outcome: &Outcome) {
     let Sending { choice, ticket, .. } = sending;
     let (target, content, evidence) = (&choice.target, request.digest, outcome.evidence());
+    state.metrics.attempted(target, outcome.name());
     let ended = state.fleet().ended(state.clock.now(), target, *ticket, evidence);
     let (before, after) = ended;
     if before != after {
@@ -197,20 +206,29 @@
     outcome: Outcome,
 ) -> Step {
     let (id, now) = (&answer.request.id, state.clock.now());
+    let route = &answer.request.route;
     let begun = answer.begun;
     let ended = match outcome {
         Outcome::Whole => {
             let ms = now.saturating_duration_since(answer.request.begun).as_millis();
             log!(Code::Answered, id, target, ms = u64::try_from(ms).unwrap_or(u64::MAX));
+            state.metrics.ended(route, Ending::Answered, None);
+            return Step::Done;
+        }
+        Outcome::Passed(status) => {
+            log!(Code::FailurePassed, id, target, status = status.as_u16());
+            state.metrics.ended(route, Ending::FailurePassed, None);
             return Step::Done;
         }
         Outcome::Gone => {
             log!(Code::CallerGone, id, target);
+            state.metrics.ended(route, Ending::CallerGone, None);
             return Step::Done;
         }
         Outcome::Refused(status, headers, body) => {
             log!(Code::AttemptFailed, id, target, status = status.as_u16());
             progress.failure = Some((status, headers, body));
+            progress.reason = Reason::TargetError;
             Ended { run: Run::Unknown, arrived: true, begun, answered: true }
         }
         Outcome::Failed { reason, run, arrived } => {
@@ -222,10 +240,13 @@
     match progress.course.ended(target, ended) {
         Next::Again { paid: true } if !pay(state, answer.request) => {
             progress.reason = Reason::RetryBudget;
-            finish(answer, progress).await
+            finish(state, answer, progress).await
+        }
+        Next::Again { .. } => {
+            state.metrics.retried(progress.reason);
+            Step::Again
         }
-        Next::Again { .. } => Step::Again,
-        Next::GiveUp => finish(answer, progress).await,
+        Next::GiveUp => finish(state, answer, progress).await,
     }
 }
 
@@ -237,16 +258,18 @@
 }
 
 /// Gives the caller the final answer.
-async fn finish(answer: &mut Answer<'_>, progress: &mut Progress) -> Step {
-    let id = &answer.request.id;
+async fn finish(state: &State, answer: &mut Answer<'_>, progress: &mut Progress) -> Step {
+    let (id, route) = (&answer.request.id, &answer.request.route);
     let effect = progress.course.effect();
     if answer.begun {
         log!(Code::AnswerCut, id, reason = progress.reason.name());
+        state.metrics.ended(route, Ending::Cut, Some(progress.reason));
         answer.give(Piece::Cut).await;
         return Step::Done;
     }
     if let Some((status, headers, body)) = progress.failure.take() {
         log!(Code::FailurePassed, id, status = status.as_u16());
+        state.metrics.ended(route, Ending::FailurePassed, None);
         answer.give(Piece::Head(status, headers)).await;
         answer.give(Piece::Data(body)).await;
         answer.give(Piece::End).await;
@@ -255,7 +278,11 @@
     let returns = effect == Run::NotRun && progress.reason != Reason::SuspectedCrash;
     let wait = returns.then_some(progress.wait);
     let problem = Problem::new(progress.reason, effect).retry_after(wait);
-    log!(Code::Refused, id, reason = progress.reason.name(), run = %effect);
+    let wait_ms = wait.map_or(0, |wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+    let (reason, version) = (progress.reason, state.plan().map_or(0, |plan| plan.version));
+    log!(Code::Refused, id, reason = reason.name(), run = %effect, wait_ms, version);
+    state.metrics.ended(route, Ending::Refused, Some(reason));
+    state.metrics.refused(reason);
     answer.give(Piece::Problem(problem)).await;
     Step::Done
 }
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -16,15 +16,17 @@
 use cornelpass_core::plan;
 use cornelpass_operator::event::{self, Code};
 use cornelpass_operator::log;
-use cornelpass_operator::metrics::Metrics;
+use cornelpass_operator::metrics::gateway::Metrics;
 use cornelpass_operator::settings::gateway as settings;
 use cornelpass_operator::stop::{self, Reload};
-use cornelpass_platform::feed::Topic;
+use cornelpass_platform::feed::{Feed, Topic};
 use hyper::{Request, Response, StatusCode};
 use snafu::{ResultExt, Whatever};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 
+use super::console::Console;
+use super::counted::Counted;
 use super::relay::Relay;
 use super::state::State;
 use super::{follow, homes, peers};
@@ -88,16 +90,17 @@
     ));
     let callers = bind("callers", settings.listen.callers).await?;
     let readiness = bind("readiness", settings.listen.readiness).await?;
-    let feed = Arc::new(Store::new(settings.platform));
+    let store = Box::new(Store::new(settings.platform));
+    let feed: Arc<dyn Feed> = Arc::new(Counted::new(Arc::clone(&state), store));
     for topic in [Topic::Operators, Topic::Targets, Topic::Routers] {
         tokio::spawn(follow::run(Arc::clone(&state), feed.clone(), topic, settings.bounds.clone()));
     }
     tokio::spawn(homes::run(Arc::clone(&state), feed.clone()));
     meet(&state, &settings, feed).await?;
-    let (_kept, fixed) = watch::channel(Limits::default());
-    let (_serving, always) = watch::channel(Stage::Serving);
     let answers = Arc::new(Readiness { state: Arc::clone(&state) });
-    tokio::spawn(Server::over(answers, fixed, always).run(readiness));
+    attend(readiness, answers);
+    let operators = bind("operators", settings.listen.operators).await?;
+    attend(operators, Arc::new(Console::new(Arc::clone(&state))));
 
     let (limits, limited) = watch::channel(limits(&plan::Limits::default(), settings.files));
     let reuse = settings.bounds.reuse;
@@ -131,7 +134,7 @@
 async fn meet(
     state: &Arc<State>,
     settings: &settings::Gateway,
-    feed: Arc<Store>,
+    feed: Arc<dyn Feed>,
 ) -> Result<(), Whatever> {
     let listen = settings.listen;
     let now = state.clock.now();
@@ -149,15 +152,19 @@
     tokio::spawn(peers::tell(Arc::clone(state), socket, incarnation));
     tokio::spawn(peers::ask(Arc::clone(state), listen.routers.port()));
     tokio::spawn(follow::register(Arc::clone(state), feed, listen.reports));
-    let (_kept, fixed) = watch::channel(Limits::default());
-    let (_serving, always) = watch::channel(Stage::Serving);
-    let answers = Arc::new(peers::Answers::new(Arc::clone(state)));
     let listener = bind("routers", listen.routers).await?;
+    attend(listener, Arc::new(peers::Answers::new(Arc::clone(state))));
+    Ok(())
+}
+
+/// Serves somebody else than callers, for as long as the process runs.
+fn attend(listener: TcpListener, service: Arc<dyn Service>) {
+    let (limits, fixed) = watch::channel(Limits::default());
+    let (stage, always) = watch::channel(Stage::Serving);
     tokio::spawn(async move {
-        Server::over(answers, fixed, always).run(listener).await;
-        drop((_kept, _serving));
+        Server::over(service, fixed, always).run(listener).await;
+        drop((limits, stage));
     });
-    Ok(())
 }
 
 /// Drops what has become old, and puts new limits into force.
@@ -168,8 +175,10 @@
     reuse: Duration,
 ) {
     loop {
+        let begun = state.clock.now();
         tokio::time::sleep(SWEEP_PERIOD).await;
         let now = state.clock.now();
+        state.metrics.lag(now.saturating_duration_since(begun).saturating_sub(SWEEP_PERIOD));
         state.pool.sweep(now);
         {
             let mut fleet = state.fleet();
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use cornelpass_core::budget::{Budgets, Terms};
 use cornelpass_core::clock::Clock;
@@ -11,7 +12,7 @@
 use cornelpass_core::report::{self, Report};
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
-use cornelpass_operator::metrics::Metrics;
+use cornelpass_operator::metrics::gateway::Metrics;
 use cornelpass_operator::settings::gateway::Gateway;
 use cornelpass_target::dialect::Dialect;
 use cornelpass_target::pool::Pool;
@@ -32,6 +33,8 @@
     /// Address for other routers' reports.
     pub address: SocketAddr,
     plan: Mutex<Option<Arc<Plan>>>,
+    /// When it came into force.
+    applied: Mutex<Option<Instant>>,
     /// The configuration, once the targets are known as well.
     served: watch::Sender<Option<Arc<Plan>>>,
     /// Whether the targets are known.
@@ -101,6 +104,7 @@
             pool: Pool::new(),
             address: settings.listen.reports,
             plan: Mutex::new(None),
+            applied: Mutex::new(None),
             served: watch::Sender::new(None),
             listed: AtomicBool::new(false),
             fleet: Mutex::new(fleet),
@@ -147,6 +151,7 @@
         let rates = plan.services.iter().map(|(name, service)| (name.clone(), service.cold_rate));
         self.fleet().configure(rates.collect());
         *lock(&self.plan) = Some(Arc::new(plan));
+        *lock(&self.applied) = Some(self.clock.now());
         self.serve();
         self.metrics.version(version);
         log!(Code::ConfigApplied, version);
@@ -207,6 +212,37 @@
         lock(&self.fleet)
     }
 
+    /// Ages of the list of targets and, on average, of the other routers' reports, in milliseconds.
+    #[must_use]
+    pub fn ages_ms(&self) -> (u16, u64) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet();
+        let reports = u64::try_from(fleet.peers().age(now).as_millis()).unwrap_or(u64::MAX);
+        (fleet.lookout().age_ms(now), reports)
+    }
+
+    /// Takes the readings that are made only when somebody asks for them.
+    pub fn observe(&self) {
+        let now = self.clock.now();
+        let since = |at: Option<Instant>| {
+            at.map(|at| now.saturating_duration_since(at)).unwrap_or_default()
+        };
+        let config = since(*lock(&self.applied));
+        let (list, reports, members) = {
+            let mut fleet = self.fleet();
+            let list = Duration::from_millis(u64::from(fleet.lookout().age_ms(now)));
+            (list, fleet.peers().age(now), fleet.peers().members(now))
+        };
+        self.metrics.ages(config, list, reports);
+        self.metrics.open(self.open() as u64);
+        self.metrics.process();
+        let services = self.plan().map(|plan| plan.services.clone()).unwrap_or_default();
+        for service in services.keys() {
+            let left = self.budgets().left(now, service, members).max(0.0);
+            self.metrics.retry_budget(service, left as u64);
+        }
+    }
+
     /// What this router tells the others.
     #[must_use]
     pub fn report(&self, incarnation: u32, sequence: u32) -> Report {
