--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -432,18 +432,6 @@
         (before, record.health.standing(now))
     }
 
-    /// Another target has answered a request that this one had failed.
-    ///
-    /// Returns how the target stood before and stands now.
-    pub fn blame(&mut self, now: Instant, target: &str) -> (Standing, Standing) {
-        let Some(record) = self.records.get_mut(target) else {
-            return (Standing::Good, Standing::Good);
-        };
-        let before = record.health.standing(now);
-        record.health.blamed(now);
-        (before, record.health.standing(now))
-    }
-
     /// Contents suspected of crashing targets.
     pub const fn suspects(&mut self) -> &mut Ledger {
         &mut self.suspects
--- a/crates/cornelpass-core/src/fleet/health.rs
+++ b/crates/cornelpass-core/src/fleet/health.rs
@@ -166,12 +166,7 @@
         }
     }
 
-    /// A request that has ended was the target's failure, as another target showed.
-    pub fn blamed(&mut self, now: Instant) {
-        self.failed(now);
-    }
-
-    /// A request has ended in a way that says nothing of the target, or nothing yet.
+    /// A request was given up by its caller, which says nothing of the target.
     pub const fn dropped(&mut self) {
         self.waiting = self.waiting.saturating_sub(1);
     }
--- a/crates/cornelpass-core/tests/pattern_half_gone.rs
+++ b/crates/cornelpass-core/tests/pattern_half_gone.rs
@@ -110,23 +110,6 @@
     assert_eq!((loads.of("t", later), loads.of("u", later)), (1, 0));
 }
 
-#[test]
-fn requests_that_fail_everywhere_say_nothing_of_their_targets() {
-    let mut fleet = Routers::new(1, 4);
-    let home = choice(&mut fleet, Repeat::Never, 0);
-    let now = fleet.now;
-    let router = &mut fleet.fleets[0];
-    for _ in 0..LEAST_FAILURES * 2 {
-        let ticket = router.sent(now, &home, 1);
-        router.ended(now, &home, ticket, None);
-    }
-    assert_eq!(choice(&mut fleet, Repeat::Never, 0), home);
-    for _ in 0..LEAST_FAILURES {
-        fleet.fleets[0].blame(now, &home);
-    }
-    assert_ne!(choice(&mut fleet, Repeat::Never, 0), home);
-}
-
 #[test]
 fn failures_that_other_routers_see_count() {
     let mut fleet = Routers::new(1, 4);
--- a/crates/cornelpass-operator/src/writer.rs
+++ b/crates/cornelpass-operator/src/writer.rs
@@ -23,7 +23,7 @@
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time for which lines are gathered, so that one call writes several of them.
-const GATHER_TIME: Duration = Duration::from_millis(100);
+const GATHER_TIME: Duration = Duration::from_millis(250);
 
 /// Bytes at which they are written earlier.
 const GATHER_BYTES: usize = 32 * 1024;
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -96,8 +96,6 @@
     course: Course,
     reason: Reason,
     wait: Duration,
-    /// A target that answered with a failure, of which another one will show whose fault it was.
-    accused: Option<String>,
     /// A target's own failure, to be passed on if nothing better comes.
     failure: Option<(StatusCode, Box<HeaderMap>, Bytes)>,
 }
@@ -124,7 +122,6 @@
         course: Course::new(terms),
         reason: Reason::NoTarget,
         wait: RETRY_AFTER,
-        accused: None,
         failure: None,
     };
     while let Step::Again = attempt(&state, &mut answer, &mut progress).await {}
@@ -174,32 +171,14 @@
     let patience = patience(request, &progress.course, now);
     let sending = Sending { choice, ticket, patience };
     let outcome = answer.attempt(state, &sending).await;
-    note(state, request, &sending, &outcome, &mut progress.accused);
+    note(state, request, &sending, &outcome);
     ended(state, answer, progress, &sending.choice.target, outcome).await
 }
 
 /// Takes what the end of an attempt says of its target.
-///
-/// A request that fails wherever it runs says nothing of its targets. So a failure that another
-/// target's answer will explain does not count yet.
-fn note(
-    state: &Arc<State>,
-    request: &Request,
-    sending: &Sending,
-    outcome: &Outcome,
-    accused: &mut Option<String>,
-) {
+fn note(state: &Arc<State>, request: &Request, sending: &Sending, outcome: &Outcome) {
     let Sending { choice, ticket, .. } = sending;
-    let (target, content, mut evidence) = (&choice.target, request.digest, outcome.evidence());
-    if matches!(outcome, Outcome::Refused(..)) {
-        evidence = None;
-        *accused = if accused.is_none() { Some(target.clone()) } else { None };
-    } else if let (Some(accused), Outcome::Whole) = (accused.take(), outcome) {
-        let (before, after) = state.fleet().blame(state.clock.now(), &accused);
-        if before != after {
-            log!(Code::TargetStanding, target = accused, %before, %after);
-        }
-    }
+    let (target, content, evidence) = (&choice.target, request.digest, outcome.evidence());
     state.metrics.attempted(target, outcome.name());
     let ended = state.fleet().ended(state.clock.now(), target, *ticket, evidence);
     let (before, after) = ended;
