--- a/crates/cornelpass-router/src/gateway/homes.rs
+++ b/crates/cornelpass-router/src/gateway/homes.rs
@@ -24,6 +24,10 @@
 /// Time for an answer of the platform.
 const PATIENCE: Duration = Duration::from_millis(600);
 
+/// Age of what the platform told, in milliseconds, up to which it is worth a call: a router that asks
+/// often has heard within it.
+const HEARD_MS: u16 = 3_000;
+
 /// Most readings in the list: as many as surely fit a row of 64 KiB.
 const LIST_LIMIT: usize = 4_096;
 
@@ -41,7 +45,8 @@
         let now = state.clock.now();
         let reads = {
             let mut fleet = state.fleet();
-            let writes = lookout::writes_notes(now, state.address, fleet.peers());
+            let heard = fleet.lookout().age_ms(now) < HEARD_MS;
+            let writes = heard && lookout::writes_notes(now, state.address, fleet.peers());
             writes.then(|| fleet.parts().list(LIST_LIMIT))
         };
         let Some(reads) = reads.filter(|reads| *reads != written) else { continue };
