--- a/crates/cornelpass-router/src/gateway/exchange.rs
+++ b/crates/cornelpass-router/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One attempt at one target.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cornelpass_caller::gateway::{Message, Piece};
@@ -132,6 +132,35 @@
     pub begun: bool,
     /// Version of the weights that the answer is made with.
     pub weights: Option<u64>,
+    /// When its parts were given to the caller.
+    pub pace: Pace,
+}
+
+/// When the parts of an answer were given to the caller.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    /// Longest pause between two parts.
+    gap: Duration,
+}
+
+impl Pace {
+    /// A part was given.
+    fn tick(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        let gap = self.last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+        self.gap = self.gap.max(gap);
+        self.last = Some(now);
+    }
+
+    /// Time from a moment to the first part, and the longest pause, in milliseconds.
+    #[must_use]
+    pub fn millis(&self, since: Instant) -> (u64, u64) {
+        let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let first = self.first.map_or(Duration::ZERO, |at| at.saturating_duration_since(since));
+        (ms(first), ms(self.gap))
+    }
 }
 
 impl Answer<'_> {
@@ -313,7 +342,11 @@
             let Ok(whole) = self.events.take(&data) else {
                 return Outcome::lost(Reason::TargetError);
             };
-            if !whole.is_empty() && !self.give(Piece::Data(whole)).await {
+            if whole.is_empty() {
+                continue;
+            }
+            self.pace.tick(now);
+            if !self.give(Piece::Data(whole)).await {
                 return Outcome::Gone;
             }
         }
@@ -328,6 +361,9 @@
     async fn begin(&mut self, state: &State, status: StatusCode, headers: HeaderMap) {
         if !self.begun {
             self.begun = true;
+            if self.request.form == Form::Body {
+                self.pace.tick(state.clock.now());
+            }
             let arrived = self.request.begun;
             state.metrics.first_byte(state.clock.now().saturating_duration_since(arrived));
             self.give(Piece::Head(status, Box::new(headers))).await;
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -22,7 +22,7 @@
 use tokio::time::timeout;
 
 use super::crash;
-use super::exchange::{Answer, Outcome, Sending};
+use super::exchange::{Answer, Outcome, Pace, Sending};
 use super::state::State;
 
 /// Pieces held for a caller that reads slowly.
@@ -116,6 +116,7 @@
         events: Events::after(message.last_event),
         begun: false,
         weights: None,
+        pace: Pace::default(),
     };
     let terms = Terms { repeat: request.repeat, targets: request.attempts };
     let mut progress = Progress {
@@ -211,7 +212,9 @@
     let ended = match outcome {
         Outcome::Whole => {
             let ms = now.saturating_duration_since(answer.request.begun).as_millis();
-            log!(Code::Answered, id, target, ms = u64::try_from(ms).unwrap_or(u64::MAX));
+            let ms = u64::try_from(ms).unwrap_or(u64::MAX);
+            let (first_ms, gap_ms) = answer.pace.millis(answer.request.begun);
+            log!(Code::Answered, id, target, ms, first_ms, gap_ms);
             state.metrics.ended(route, Ending::Answered, None);
             return Step::Done;
         }
