fix(router): do not pass on the length of a stream that another target may resume

Cause: a target that streams events with a Content-Length is cut; another target resumes in other words; the caller's connection was bound to the first length, so the longer rest was cut there and the answer still looked whole.

Ruled out: the caller stand-in's reading of chunks (the answer was not chunked); a wrong numbering of events (all that came were in order).

Change: streams of events are sent in chunks, whatever the target told.

--- a/crates/cornelpass-router/src/gateway/exchange.rs
+++ b/crates/cornelpass-router/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use cornelpass_target::pool::Lease;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
@@ -317,7 +317,9 @@
 
     /// Passes whole events on.
     async fn stream(&mut self, state: &State, sending: &Sending, arrival: Arrival) -> Outcome {
-        let Arrival { lease, aside, status, headers, mut body } = arrival;
+        let Arrival { lease, aside, status, mut headers, mut body } = arrival;
+        // Whole events of several targets do not have the length that the first one told.
+        headers.remove(CONTENT_LENGTH);
         self.begin(state, status, headers).await;
         self.events.restart();
         let mut heard = state.clock.now();
--- a/crates/cornelpass-standin/src/process.rs
+++ b/crates/cornelpass-standin/src/process.rs
@@ -115,6 +115,11 @@
         address.ok_or_else(|| io::Error::other(format!("no address {name} in {started}")))
     }
 
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
     /// Kills it at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/cornelpass-standin/src/proxy.rs
+++ b/crates/cornelpass-standin/src/proxy.rs
@@ -1,21 +1,67 @@
-//! A TCP forwarder whose connections can go silent: nothing passes and nothing closes, while new
-//! connections work; and that can be cut, so that no connection works.
+//! A TCP forwarder between two processes, whose connections misbehave while both ends are well.
+//!
+//! Connections can go silent: nothing passes and nothing closes, while new ones work. A way can be cut,
+//! so that no connection works, or lose what goes in one direction; bytes can be late; connections can
+//! be reset.
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
+
+use rustix::net::sockopt::set_socket_linger;
 
 /// Bytes that are forwarded at once.
 const BUFFER: usize = 16 * 1024;
 
+/// What becomes of what passes now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It passes.
+    #[default]
+    None,
+    /// It passes after a time.
+    Late(Duration),
+    /// What goes to the upstream is lost.
+    LoseForth,
+    /// What comes from the upstream is lost.
+    LoseBack,
+}
+
+/// What became of an open connection.
+#[derive(Debug, Default)]
+struct Fate {
+    /// Nothing passes and nothing closes.
+    silent: AtomicBool,
+    /// It ends with a reset.
+    reset: AtomicBool,
+}
+
+/// An open connection.
+struct Pair {
+    caller: TcpStream,
+    callee: TcpStream,
+    fate: Arc<Fate>,
+}
+
 #[derive(Default)]
 struct State {
     opened: AtomicUsize,
     cut: AtomicBool,
-    /// Silence of each connection that was opened.
-    silences: Mutex<Vec<Arc<AtomicBool>>>,
+    fault: Mutex<Fault>,
+    pairs: Mutex<Vec<Pair>>,
+}
+
+impl State {
+    fn pairs(&self) -> MutexGuard<'_, Vec<Pair>> {
+        self.pairs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn fault(&self) -> MutexGuard<'_, Fault> {
+        self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// A forwarder to one address; it runs until the process ends.
@@ -66,38 +112,73 @@
 
     /// Makes the connections that are open now silent for good.
     pub fn silence(&self) {
-        let mut silences = self.state.silences.lock().unwrap_or_else(PoisonError::into_inner);
-        for silent in silences.drain(..) {
-            silent.store(true, Ordering::SeqCst);
+        for pair in self.state.pairs().drain(..) {
+            pair.fate.silent.store(true, Ordering::SeqCst);
         }
     }
+
+    /// Resets the connections that are open now.
+    pub fn reset(&self) {
+        for pair in self.state.pairs().drain(..) {
+            pair.fate.reset.store(true, Ordering::SeqCst);
+            for stream in [&pair.caller, &pair.callee] {
+                // Without a time to linger, the end of a connection is a reset; the end of reading
+                // wakes whoever holds it.
+                let _ = set_socket_linger(stream, Some(Duration::ZERO));
+                let _ = stream.shutdown(Shutdown::Read);
+            }
+        }
+    }
+
+    /// Sets what becomes of all that passes from now on.
+    pub fn set(&self, fault: Fault) {
+        *self.state.fault() = fault;
+    }
 }
 
-fn forward(caller: TcpStream, upstream: SocketAddr, state: &State) -> io::Result<()> {
+fn forward(caller: TcpStream, upstream: SocketAddr, state: &Arc<State>) -> io::Result<()> {
     let callee = TcpStream::connect(upstream)?;
     caller.set_nodelay(true)?;
     callee.set_nodelay(true)?;
-    let silent = Arc::new(AtomicBool::new(false));
-    let mut silences = state.silences.lock().unwrap_or_else(PoisonError::into_inner);
-    silences.push(Arc::clone(&silent));
+    let fate = Arc::new(Fate::default());
+    let (own, other) = (caller.try_clone()?, callee.try_clone()?);
+    let pair = Pair { caller: own, callee: other, fate: Arc::clone(&fate) };
+    {
+        let mut pairs = state.pairs();
+        // The two that copy hold a reference each until they have ended.
+        pairs.retain(|pair| Arc::strong_count(&pair.fate) > 1);
+        pairs.push(pair);
+    }
     state.opened.fetch_add(1, Ordering::SeqCst);
-    for (from, to) in [(&caller, &callee), (&callee, &caller)] {
+    for (from, to, forth) in [(&caller, &callee, true), (&callee, &caller, false)] {
         let (from, to) = (from.try_clone()?, to.try_clone()?);
-        let silent = Arc::clone(&silent);
-        thread::spawn(move || copy(from, to, &silent));
+        let (fate, state) = (Arc::clone(&fate), Arc::clone(state));
+        thread::spawn(move || copy(from, to, &fate, &state, forth));
     }
     Ok(())
 }
 
 /// Copies until the connection ends; a silent one swallows all that comes, its end included.
-fn copy(mut from: TcpStream, mut to: TcpStream, silent: &AtomicBool) {
+fn copy(mut from: TcpStream, mut to: TcpStream, fate: &Fate, state: &State, forth: bool) {
     let mut buffer = vec![0; BUFFER];
     while let Ok(length @ 1..) = from.read(&mut buffer) {
-        if !silent.load(Ordering::SeqCst) && to.write_all(&buffer[..length]).is_err() {
+        let fault = *state.fault();
+        let lost = fault == if forth { Fault::LoseForth } else { Fault::LoseBack };
+        if let Fault::Late(time) = fault {
+            thread::sleep(time);
+        }
+        if lost {
+            // What follows would not fit what went before.
+            fate.silent.store(true, Ordering::SeqCst);
+        }
+        if !fate.silent.load(Ordering::SeqCst) && to.write_all(&buffer[..length]).is_err() {
             break;
         }
     }
-    if silent.load(Ordering::SeqCst) {
+    if fate.reset.load(Ordering::SeqCst) {
+        return;
+    }
+    if fate.silent.load(Ordering::SeqCst) {
         // The other end never hears of it, for as long as the process runs.
         std::mem::forget(to);
         return;
