perf(core): let a choice and a report cost no more than one look at each target

For each target it added up the reports of all routers, and looked for the target's place and for holders of its prompt by hashing the names of all targets; a report did the same for each target. Ruled out: the engines (their load was the usual one), the links (56 KB/s).

Change: sums of the reports that count are kept up with each report and each expiry; records know their short hash, and an index leads back; what the others told comes to the records when a choice is made; only the target that is chosen is described. The order of targets is the same.

--- /dev/null
+++ b/crates/cornelpass-core/benches/fleet.rs
@@ -0,0 +1,103 @@
+//! Cost of one choice of a target, and of one report of another router.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use cornelpass_core::course::{Course, Terms};
+use cornelpass_core::fleet::{Bounds, Fleet, Row, State};
+use cornelpass_core::report::{Report, short};
+use cornelpass_core::request::{Form, Part, Prompt, Repeat, Request};
+use divan::Bencher;
+
+const SERVICE: &str = "model-pool";
+
+/// Requests of one router in progress at the aim.
+const IN_PROGRESS: u32 = 127;
+
+/// Routers and targets: today, on the users' sweep, and at the aim.
+const SIZES: [(u32, u32); 3] = [(4, 12), (100, 800), (370, 600)];
+
+fn main() {
+    divan::main();
+}
+
+fn address(number: u32) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + number), 7000))
+}
+
+fn name(number: u32) -> String {
+    format!("i-{:010x}", u64::from(number) * 0x9e37_79b9)
+}
+
+fn report(router: u32, sequence: u32, targets: u32) -> Report {
+    let target = |n: u32| (router * 31 + n * 7 + sequence) % targets;
+    let loads = (0..IN_PROGRESS.min(targets)).map(|n| (short(&name(target(n))), 1)).collect();
+    Report { incarnation: 1, sequence, loads, ..Report::default() }
+}
+
+fn fleet(now: Instant, routers: u32, targets: u32) -> Fleet {
+    let mut fleet = Fleet::new(Bounds::default());
+    for number in 0..targets {
+        let row = Row {
+            service: SERVICE.to_owned(),
+            address: address(0x1_0000 + number),
+            data_centre: format!("dc-{}", number % 4),
+            slots: 64,
+            state: State::Ready,
+            cold_left: Duration::ZERO,
+            weights: Some(1),
+            born: Some(1),
+        };
+        fleet.list(now, &name(number), row, 1);
+    }
+    for router in 1..routers {
+        fleet.told(now, address(router), report(router, 1, targets));
+    }
+    fleet
+}
+
+fn request(now: Instant, number: u64) -> Request {
+    let part = |id, tokens| Part { id, tokens };
+    let parts = vec![part(1, 2_500), part(100 + number % 50, 6_000), part(1_000 + number, 500)];
+    Request {
+        id: "r".to_owned(),
+        route: "brief".to_owned(),
+        organisation: "org".to_owned(),
+        service: SERVICE.to_owned(),
+        repeat: Repeat::Never,
+        form: Form::Events,
+        attempts: 1,
+        rank: 1,
+        prompt: Some(Prompt { model: "m".to_owned(), tokens: 9_000, answer_tokens: 50, parts }),
+        digest: number,
+        begun: now,
+        due: now + Duration::from_secs(4),
+        target_latency: Duration::from_millis(500),
+        gap: None,
+    }
+}
+
+#[divan::bench(args = SIZES)]
+fn choose(bencher: Bencher<'_, '_>, (routers, targets): (u32, u32)) {
+    let now = Instant::now();
+    let mut fleet = fleet(now, routers, targets);
+    let mut number = 0;
+    bencher.bench_local(|| {
+        number += 1;
+        let request = request(now, number);
+        let course = Course::new(Terms { repeat: request.repeat, targets: request.attempts });
+        fleet.choose(now, &request, &course).is_ok()
+    });
+}
+
+#[divan::bench(args = SIZES)]
+fn told(bencher: Bencher<'_, '_>, (routers, targets): (u32, u32)) {
+    let begun = Instant::now();
+    let mut fleet = fleet(begun, routers, targets);
+    let mut sequence = 1;
+    bencher.bench_local(|| {
+        sequence += 1;
+        let now = begun + Duration::from_millis(u64::from(sequence) * 2_000 / u64::from(routers));
+        fleet.told(now, address(1 + sequence % (routers - 1)), report(1, sequence, targets))
+    });
+}
--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -98,6 +98,8 @@
 /// What is known of one target.
 #[derive(Clone, Debug)]
 struct Record {
+    /// Short hash of its name.
+    short: u32,
     row: Row,
     /// Revision of the entry.
     revision: u64,
@@ -117,6 +119,17 @@
     fn is_sound(&self, now: Instant) -> bool {
         self.missing.is_none() && self.health.standing(now) == Standing::Good
     }
+
+    /// How much speaks against sending a request to the target.
+    ///
+    /// One that is to be tried gets a request that may be repeated as if it were sound.
+    fn doubt(&self, now: Instant, repeat: Repeat) -> Standing {
+        match self.health.standing(now) {
+            Standing::Trial if repeat.allowed() => Standing::Good,
+            Standing::Trial => Standing::Failing,
+            standing => standing,
+        }
+    }
 }
 
 /// How a target stands, for operators.
@@ -171,6 +184,24 @@
     pub wait: Duration,
 }
 
+/// Targets that may take a request.
+struct Ranking<'a> {
+    /// Names, the most preferred first.
+    order: Vec<&'a str>,
+    /// Load that each may reach, in requests.
+    bound: u32,
+}
+
+/// How well a router sees the work of the others at a moment.
+#[derive(Clone, Copy, Debug)]
+struct Sight {
+    now: Instant,
+    /// Routers, this one included.
+    members: u32,
+    /// Age of what the others told, as a multiple of that at which it says nothing.
+    blind: f64,
+}
+
 /// Targets that hold the shared parts of a prompt.
 struct Holding<'a> {
     targets: BTreeSet<u32>,
@@ -202,12 +233,11 @@
 }
 
 impl Holding<'_> {
-    fn nearness(&self, fleet: &Fleet, name: &str) -> Nearness {
-        if self.targets.contains(&report::short(name)) {
+    fn nearness(&self, record: &Record) -> Nearness {
+        if self.targets.contains(&record.short) {
             return Nearness::Holds;
         }
-        let data_centre = fleet.records.get(name).map(|record| record.row.data_centre.as_str());
-        let near = data_centre.is_some_and(|name| self.data_centres.contains(name));
+        let near = self.data_centres.contains(record.row.data_centre.as_str());
         if near { Nearness::Near } else { Nearness::Far }
     }
 }
@@ -236,6 +266,10 @@
 pub struct Fleet {
     bounds: Bounds,
     records: BTreeMap<String, Record>,
+    /// Names by their short hashes.
+    names: BTreeMap<u32, String>,
+    /// Reports that came since the last choice.
+    reports: i32,
     closed: BTreeSet<String>,
     cold_rates: BTreeMap<String, f64>,
     loads: Loads,
@@ -289,8 +323,19 @@
                 let (health, gate) = (Health::default(), Gate::default());
                 let (missing, usual) = (None, 0.0);
                 let since = now;
-                let record =
-                    Record { row, revision, cold_until, since, missing, health, gate, usual };
+                let short = report::short(name);
+                let record = Record {
+                    short,
+                    row,
+                    revision,
+                    cold_until,
+                    since,
+                    missing,
+                    health,
+                    gate,
+                    usual,
+                };
+                self.names.insert(short, name.to_owned());
                 self.records.insert(name.to_owned(), record);
                 true
             }
@@ -361,25 +406,33 @@
         let contents: Vec<u64> =
             self.peers.reports(now).flat_map(|report| report.contents.iter().copied()).collect();
         self.suspects.merge(now, &contents);
+        self.reports = self.reports.saturating_add(1);
+        news
+    }
+
+    /// Brings what the other routers told to the records of the targets.
+    ///
+    /// Done when a choice needs it: reports of many routers come more often than requests do.
+    fn refresh(&mut self, now: Instant) {
+        self.peers.expire(now);
         // Each of the others contributes to the average as often as it tells.
         let part = USUAL_PART / self.peers.members(now).saturating_sub(1).max(1) as f64;
-        for (name, record) in &mut self.records {
-            let short = report::short(name);
-            record.health.told(now, self.peers.failures(now, short));
-            let load = f64::from(self.peers.load(now, short));
-            record.usual += (load - record.usual) * part;
+        let moved = 1.0 - (1.0 - part).powi(std::mem::take(&mut self.reports));
+        for record in self.records.values_mut() {
+            record.health.told(now, self.peers.failures(record.short));
+            let load = f64::from(self.peers.load(record.short));
+            record.usual += (load - record.usual) * moved;
         }
-        news
     }
 
     /// Failures of this router's requests, as they are told.
     #[must_use]
     pub fn failures(&self, now: Instant) -> Vec<(u32, u8, u8)> {
         let byte = |number: u32| u8::try_from(number).unwrap_or(u8::MAX);
-        let counts = self.records.iter().map(|(name, record)| (name, record.health.count(now)));
+        let counts = self.records.values().map(|record| (record.short, record.health.count(now)));
         let failed = counts.filter(|(_, count)| count.failed > 0);
         failed
-            .map(|(name, count)| (report::short(name), byte(count.failed), byte(count.ended)))
+            .map(|(short, count)| (short, byte(count.failed), byte(count.ended)))
             .take(report::LIST_LIMIT)
             .collect()
     }
@@ -461,7 +514,7 @@
     /// Requests of all routers in progress at a target.
     #[must_use]
     pub fn load(&self, target: &str, now: Instant) -> u32 {
-        self.loads.of(target, now) + self.peers.load(now, report::short(target))
+        self.loads.of(target, now) + self.peers.load(report::short(target))
     }
 
     /// Address of a target.
@@ -498,6 +551,7 @@
         self.records.retain(|_, record| {
             record.missing.is_none_or(|at| now.saturating_duration_since(at) < after)
         });
+        self.names.retain(|_, name| self.records.contains_key(name));
     }
 
     /// Chooses a target for a request, in view of the attempts so far.
@@ -511,9 +565,19 @@
         request: &Request,
         course: &Course,
     ) -> Result<Choice, Refusal> {
-        let ranked = self.rank(now, request, course)?;
-        let warming = Refusal { reason: Reason::Warming, wait: ROOM_WAIT };
-        ranked.into_iter().find(|choice| self.admit(&choice.target, now)).ok_or(warming)
+        self.refresh(now);
+        let ranking = self.rank(now, request, course)?;
+        // Only a cold target may turn the request away; the rest of the order does not matter.
+        let cold = ranking.order.iter().take_while(|name| self.is_cold(&self.records[**name], now));
+        let tried: Vec<String> =
+            ranking.order.iter().take(cold.count() + 1).map(|name| (*name).to_owned()).collect();
+        let bound = ranking.bound;
+        for name in tried {
+            if self.admit(&name, now) {
+                return Ok(self.choice(now, request, &name, bound));
+            }
+        }
+        Err(Refusal { reason: Reason::Warming, wait: ROOM_WAIT })
     }
 
     /// The targets that may take a request, the most preferred first.
@@ -522,62 +586,56 @@
         now: Instant,
         request: &Request,
         course: &Course,
-    ) -> Result<Vec<Choice>, Refusal> {
-        let serving: Vec<&str> = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.row.service == request.service)
+    ) -> Result<Ranking<'_>, Refusal> {
+        let serving: Vec<(&str, &Record)> = self
+            .serving(&request.service)
             .filter(|(_, record)| self.takes_work(record, now))
-            .map(|(name, _)| name.as_str())
             .collect();
         if serving.is_empty() {
             return Err(Refusal { reason: Reason::NoTarget, wait: ROOM_WAIT });
         }
         let bound = self.bound(now, &request.service);
-        let open = serving.into_iter().filter(|name| course.claim(name) != Claim::Barred);
-        let candidates: Vec<Candidate<'_>> =
-            open.map(|name| self.candidate(name, bound, now)).collect();
-        let home = request.prompt.as_ref().map(|prompt| self.home(now, prompt, &request.service));
+        let sight = self.sight(now);
+        let open: Vec<(&str, &Record)> =
+            serving.into_iter().filter(|(name, _)| course.claim(name) != Claim::Barred).collect();
+        let candidates: Vec<Candidate<'_>> = open
+            .iter()
+            .map(|(name, record)| {
+                Candidate::new(name, 1).load(self.seen(name, record, bound, sight), bound)
+            })
+            .collect();
         let mut ranked = match &request.prompt {
             Some(prompt) => {
                 let holding = self.holding(now, prompt);
-                let near = |index: &usize| holding.nearness(self, candidates[*index].name);
                 let mut ranked = Plain.rank(prompt.key(), &candidates);
-                ranked.sort_by_key(near);
+                ranked.sort_by_cached_key(|index| holding.nearness(open[*index].1));
                 ranked
             }
             None => Least.rank(request.key(), &candidates),
         };
         // A failing target may answer; one over its bound crushes all that it runs.
-        ranked.sort_by_key(|index| {
-            let name = candidates[*index].name;
-            let doubt = self.doubt(now, name, request.repeat);
+        ranked.sort_by_cached_key(|index| {
+            let (name, record) = open[*index];
+            let doubt = record.doubt(now, request.repeat);
             (course.claim(name), doubt == Standing::Away, candidates[*index].over(), doubt)
         });
-        let choice = |index: usize| {
-            let Candidate { name, load, .. } = candidates[index];
-            let record = &self.records[name];
-            let (target, address) = (name.to_owned(), record.row.address);
-            let standing = record.health.standing(now);
-            let place = home.as_ref().map_or(0, |home| home.place(name));
-            let fetch = request.prompt.as_ref().and_then(|prompt| {
-                let known = self.fetch(now, name, prompt);
-                known.or_else(|| self.guess(now, name, prompt, home.as_ref()?))
-            });
-            Choice { target, address, load, bound, standing, place, fetch }
-        };
-        Ok(ranked.into_iter().map(choice).collect())
-    }
-
-    /// How much speaks against sending a request to a target.
-    ///
-    /// A target that is to be tried gets a request that may be repeated as if it were sound.
-    fn doubt(&self, now: Instant, name: &str, repeat: Repeat) -> Standing {
-        match self.records[name].health.standing(now) {
-            Standing::Trial if repeat.allowed() => Standing::Good,
-            Standing::Trial => Standing::Failing,
-            standing => standing,
+        let order = ranked.into_iter().map(|index| open[index].0).collect();
+        Ok(Ranking { order, bound })
+    }
+
+    /// A target as it is told to whoever sends the request.
+    fn choice(&self, now: Instant, request: &Request, name: &str, bound: u32) -> Choice {
+        let record = &self.records[name];
+        let load = self.seen(name, record, bound, self.sight(now));
+        let (mut place, mut fetch) = (0, None);
+        if let Some(prompt) = &request.prompt {
+            let home = self.home(now, prompt, &request.service);
+            place = home.place(name);
+            let known = self.fetch(now, name, prompt);
+            fetch = known.or_else(|| self.guess(now, name, prompt, &home));
         }
+        let (target, address) = (name.to_owned(), record.row.address);
+        Choice { target, address, load, bound, standing: record.health.standing(now), place, fetch }
     }
 
     /// Where a target can fetch parts of a prompt from.
@@ -601,12 +659,10 @@
     ///
     /// Targets that are leaving are among them, since they still hold what they have read.
     fn home(&self, now: Instant, prompt: &Prompt, service: &str) -> Home<'_> {
-        let listed = self.records.iter().filter(|(_, record)| {
-            record.row.service == service
-                && record.missing.is_none()
-                && record.health.standing(now) != Standing::Away
+        let listed = self.serving(service).filter(|(_, record)| {
+            record.missing.is_none() && record.health.standing(now) != Standing::Away
         });
-        let listed: Vec<&str> = listed.map(|(name, _)| name.as_str()).collect();
+        let listed: Vec<&str> = listed.map(|(name, _)| name).collect();
         let candidates: Vec<Candidate<'_>> =
             listed.iter().map(|name| Candidate::new(name, 1)).collect();
         let order = Plain.rank(prompt.key(), &candidates);
@@ -646,8 +702,13 @@
     }
 
     fn by_short(&self, target: u32) -> Option<&Record> {
-        let mut records = self.records.iter();
-        records.find(|(name, _)| report::short(name) == target).map(|(_, record)| record)
+        self.records.get(self.names.get(&target)?)
+    }
+
+    /// The targets of a service that are remembered.
+    fn serving(&self, service: &str) -> impl Iterator<Item = (&str, &Record)> {
+        let named = self.records.iter().map(|(name, record)| (name.as_str(), record));
+        named.filter(move |(_, record)| record.row.service == service)
     }
 
     /// Load that each target of a service may reach, in requests.
@@ -657,15 +718,12 @@
     /// is wrong in the view of the mean would take them over it, so that the multiple is taken in part.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "loads are small")]
     fn bound(&self, now: Instant, service: &str) -> u32 {
-        let listed = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.row.service == service && record.missing.is_none());
+        let listed = self.serving(service).filter(|(_, record)| record.missing.is_none());
         let (mut count, mut avoided, mut sum) = (0_u32, 0_u32, 0_u32);
         for (name, record) in listed {
             count += 1;
             avoided += u32::from(record.health.standing(now) >= Standing::Failing);
-            sum += self.load(name, now);
+            sum += self.loads.of(name, now) + self.peers.load(record.short);
         }
         let targets = f64::from(count.max(1));
         let part = 1.0 - AVOIDED_PART * f64::from(avoided) / targets;
@@ -673,22 +731,27 @@
             + self.bounds.load_slack
     }
 
-    /// A target as a candidate.
+    /// How well this router sees the work of the others.
+    fn sight(&self, now: Instant) -> Sight {
+        let members = u32::try_from(self.peers.members(now)).unwrap_or(u32::MAX);
+        let blind = self.peers.age(now).as_secs_f64() / BLIND_AGE.as_secs_f64();
+        Sight { now, members, blind }
+    }
+
+    /// Load of a target, in requests, as it counts for a choice.
     ///
     /// All routers may send to the same target in the time in which what they tell grows old. So
     /// above a part of the bound, which is the smaller the older that is, none takes more than its
     /// own part of the bound.
-    fn candidate<'a>(&self, name: &'a str, bound: u32, now: Instant) -> Candidate<'a> {
-        let members = u32::try_from(self.peers.members(now)).unwrap_or(u32::MAX);
+    fn seen(&self, name: &str, record: &Record, bound: u32, sight: Sight) -> u32 {
+        let Sight { now, members, blind } = sight;
         let own = self.loads.of(name, now);
-        let blind = self.peers.age(now).as_secs_f64() / BLIND_AGE.as_secs_f64();
         let free_part = (1.0 - blind).max(LEAST_FREE_PART);
-        let told = f64::from(self.peers.load(now, report::short(name)));
-        let usual = self.records[name].usual;
+        let told = f64::from(self.peers.load(record.short));
+        let usual = record.usual;
         let load = own + (usual + (told - usual) * (-blind).exp()).round() as u32;
         let crowded = f64::from(load) >= f64::from(bound) * free_part && own > bound / members;
-        let load = if crowded { load.max(bound) } else { load };
-        Candidate::new(name, 1).load(load, bound)
+        if crowded { load.max(bound) } else { load }
     }
 
     fn takes_work(&self, record: &Record, now: Instant) -> bool {
@@ -705,11 +768,24 @@
             .is_some_and(|at| since >= at && now.saturating_duration_since(at) < LAPSE_GRACE)
     }
 
+    fn cold_rate(&self, service: &str) -> f64 {
+        self.cold_rates.get(service).copied().unwrap_or_default()
+    }
+
+    /// Whether a target is cold, and its service limits what such a target gets.
+    fn is_cold(&self, record: &Record, now: Instant) -> bool {
+        record.cold_until.is_some_and(|until| now < until)
+            && self.cold_rate(&record.row.service) > 0.0
+    }
+
     /// Takes a place at a target if it is cold; a warm one has no such limit.
     fn admit(&mut self, name: &str, now: Instant) -> bool {
-        let Some(record) = self.records.get_mut(name) else { return false };
-        let rate = self.cold_rates.get(&record.row.service).copied().unwrap_or_default();
-        let cold = record.cold_until.is_some_and(|until| now < until) && rate > 0.0;
-        !cold || record.gate.admit(now, rate, self.peers.members(now))
+        let members = self.peers.members(now);
+        let Some(record) = self.records.get(name) else { return false };
+        if !self.is_cold(record, now) {
+            return true;
+        }
+        let rate = self.cold_rate(&record.row.service);
+        self.records.get_mut(name).is_some_and(|record| record.gate.admit(now, rate, members))
     }
 }
--- a/crates/cornelpass-core/src/fleet/health.rs
+++ b/crates/cornelpass-core/src/fleet/health.rs
@@ -82,6 +82,15 @@
         Self { failed: self.failed + other.failed, ended: self.ended + other.ended }
     }
 
+    /// What is left of a sum without one of its parts.
+    #[must_use]
+    pub const fn minus(self, part: Self) -> Self {
+        Self {
+            failed: self.failed.saturating_sub(part.failed),
+            ended: self.ended.saturating_sub(part.ended),
+        }
+    }
+
     fn is_failing(self) -> bool {
         let share = f64::from(self.failed) / f64::from(self.ended.max(1));
         self.failed >= LEAST_FAILURES && share >= FAILING_SHARE
