fix(core): let routers that see late take their part of a hot prompt on average

A router's own part of the bound is a quarter of a request, which was not checked below one.

Ruled out: the sums of reports (equal to naive), routers that had just started (1 of 12).

Change: where reports are older than 0.3 s, a target counts as full if its load on average is three quarters of the bound, and this router's own work there on average is more than its part.

Not mended: one hot request in 8 and more (5.9% in the model), and 60 routers.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -269,6 +269,13 @@
 /// Part of the bound up to which a router need not keep to its own part of it, however old that is.
 const LEAST_FREE_PART: f64 = 0.4;
 
+/// Part of [`BLIND_AGE`] above which means count as well. Below it, what was told a moment ago says more.
+const BLIND_PART: f64 = 0.5;
+
+/// Part of the bound that a target may be filled to on average: the rest is for requests that come together
+/// by chance.
+const FILL_PART: f64 = 0.75;
+
 /// Time after which a target counts as a home that prompts have had: most come again within it.
 const SETTLE_TIME: Duration = Duration::from_secs(10);
 
@@ -508,7 +515,7 @@
         ticket: Ticket,
         outcome: Option<Outcome>,
     ) -> (Standing, Standing) {
-        self.loads.ended(target, ticket);
+        self.loads.ended(now, target, ticket);
         let Some(record) = self.records.get_mut(target) else {
             return (Standing::Good, Standing::Good);
         };
@@ -587,6 +594,7 @@
             record.missing.is_none_or(|at| now.saturating_duration_since(at) < after)
         });
         self.names.retain(|_, name| self.records.contains_key(name));
+        self.loads.forget(now);
     }
 
     /// Chooses a target for a request, in view of the attempts so far.
@@ -777,7 +785,8 @@
     ///
     /// All routers may send to the same target in the time in which what they tell grows old. So
     /// above a part of the bound, which is the smaller the older that is, none takes more than its
-    /// own part of the bound.
+    /// own part of the bound. Where that is less than one request, the mean over time counts: what
+    /// is told may be old, but what it says on average is not.
     fn seen(&self, name: &str, record: &Record, bound: u32, sight: Sight) -> u32 {
         let Sight { now, members, blind } = sight;
         let own = self.loads.of(name, now);
@@ -785,7 +794,12 @@
         let told = f64::from(self.peers.load(record.short));
         let usual = record.usual;
         let load = own + (usual + (told - usual) * (-blind).exp()).round() as u32;
-        let crowded = f64::from(load) >= f64::from(bound) * free_part && own > bound / members;
+        let mean = self.loads.mean(name, now);
+        let filled = f64::from(bound) * FILL_PART;
+        let full =
+            blind > BLIND_PART && usual + mean >= filled && mean > filled / f64::from(members);
+        let crowded =
+            full || f64::from(load) >= f64::from(bound) * free_part && own > bound / members;
         if crowded { load.max(bound) } else { load }
     }
 
--- a/crates/cornelpass-core/src/fleet/load.rs
+++ b/crates/cornelpass-core/src/fleet/load.rs
@@ -14,6 +14,12 @@
 /// Longer than an engine takes to read a long prompt behind others, and than the pauses of streams.
 pub const STALL: Duration = Duration::from_millis(1_500);
 
+/// Time over which the mean of the work at a target is taken: several requests long.
+pub const MEAN_TIME: Duration = Duration::from_secs(2);
+
+/// Mean below which a target without work is forgotten, in requests.
+const LEAST_MEAN: f64 = 0.01;
+
 /// Number of a request in progress at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket(u64);
@@ -32,6 +38,8 @@
     works: BTreeMap<Ticket, Work>,
     /// Last sign for any request.
     heard: Option<Instant>,
+    /// Mean load up to a moment, in requests.
+    mean: Option<(f64, Instant)>,
 }
 
 impl Bench {
@@ -43,6 +51,18 @@
         let count = self.works.values().filter(|work| !stalled(work)).count();
         u32::try_from(count).unwrap_or(u32::MAX)
     }
+
+    fn mean(&self, now: Instant) -> f64 {
+        let load = f64::from(self.load(now));
+        let Some((mean, at)) = self.mean else { return 0.0 };
+        let age = now.saturating_duration_since(at).as_secs_f64() / MEAN_TIME.as_secs_f64();
+        load + (mean - load) * (-age).exp()
+    }
+
+    /// Takes the work so far into the mean, before it changes.
+    fn settle(&mut self, now: Instant) {
+        self.mean = Some((self.mean(now), now));
+    }
 }
 
 /// Requests of this router in progress, by target.
@@ -58,6 +78,7 @@
         self.next += 1;
         let ticket = Ticket(self.next);
         let bench = self.benches.entry(target.to_owned()).or_default();
+        bench.settle(now);
         bench.works.insert(ticket, Work { content, heard: now });
         ticket
     }
@@ -72,12 +93,21 @@
     }
 
     /// Counts a request that has ended there.
-    pub fn ended(&mut self, target: &str, ticket: Ticket) {
+    pub fn ended(&mut self, now: Instant, target: &str, ticket: Ticket) {
         let Some(bench) = self.benches.get_mut(target) else { return };
+        bench.settle(now);
         bench.works.remove(&ticket);
-        if bench.works.is_empty() {
-            self.benches.remove(target);
-        }
+    }
+
+    /// Drops the targets that have had no work for a time.
+    pub fn forget(&mut self, now: Instant) {
+        self.benches.retain(|_, bench| !bench.works.is_empty() || bench.mean(now) >= LEAST_MEAN);
+    }
+
+    /// Mean number of requests in progress at a target, over [`MEAN_TIME`].
+    #[must_use]
+    pub fn mean(&self, target: &str, now: Instant) -> f64 {
+        self.benches.get(target).map_or(0.0, |bench| bench.mean(now))
     }
 
     /// Contents in progress at a target.
