--- a/crates/cornelpass-operator/tests/story.rs
+++ b/crates/cornelpass-operator/tests/story.rs
@@ -12,7 +12,7 @@
  1.2 router-a {"timestamp":"2026-01-15T00:00:01.200000Z","level":"INFO","event":406,"name":"attempt_failed","id":"9c41","target":"i-1","reason":"target-lost","run":"unknown"}
  1.3 router-a {"timestamp":"2026-01-15T00:00:01.300000Z","level":"INFO","event":400,"name":"refused","id":"9c41","reason":"target-lost","run":"unknown","wait_ms":0}
 not a line of a log {"no": "event"}
- 9.9 router-a {"torn
+ 9.9 router-a {"cut
 "#;
 
 /// A log of one process, as it writes it.
