feat(core): heed targets that say in answers that they leave or want nothing for a time

Cause: a target that is about to stop says so in all its answers, and a busy one that turns a request away names a time for which it wants nothing; neither was read. A router went on sending to a leaving target until the list told of it, which it may not do while the store is away.

Change: the head of each answer gives a notice. A target that leaves gets nothing new, kept connections to it are dropped, and the other routers are told with the time of its start, so that the word does not stick to the next start. A target that rests is no candidate, trials included; where all rest, the request is refused at once with the time at which the first one is free. Streams in progress go on; targets may still fetch prompt parts from a leaving one, which is no request of this router.

Ruled out: telling others that a target rests, since it speaks of one caller only; letting a later 'ready' entry take a departure back, since delayed writes of entries occur.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -10,9 +10,10 @@
 pub mod health;
 pub mod load;
 pub mod lookout;
+pub mod notice;
 pub mod parts;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -23,10 +24,11 @@
 use self::health::{Health, Outcome, Standing};
 use self::load::{Loads, Ticket};
 use self::lookout::Lookout;
+use self::notice::{Change, Notice, Wish};
 use self::parts::Parts;
 use crate::admission::suspect::Ledger;
 use crate::peers::{News, Peers};
-use crate::report::{self, Report};
+use crate::report::{self, Departure, Report};
 use crate::request::Repeat;
 
 /// Time after the platform's return within which entries that lapsed meanwhile come back.
@@ -111,6 +113,8 @@
     gate: Gate,
     /// Usual load of the other routers, in requests.
     usual: f64,
+    /// What it has asked of this router.
+    wish: Wish,
 }
 
 impl Record {
@@ -119,6 +123,11 @@
         self.missing.is_none() && self.health.standing(now) == Standing::Good
     }
 
+    /// Whether an entry tells of a later start than the one that is known.
+    fn is_restarted(&self, row: &Row) -> bool {
+        self.row.born.zip(row.born).is_some_and(|(known, told)| told > known)
+    }
+
     /// The target as it is reported if requests wait there.
     fn quiet(&self, now: Instant, name: &str) -> Option<Quiet> {
         let (open, since) = self.health.quiet()?;
@@ -166,6 +175,9 @@
     pub time: Duration,
 }
 
+/// Time for which a router tells that a target leaves: as long as other changes of targets.
+const DEPARTURE_TIME: Duration = lookout::TELL_PERIOD;
+
 /// Part by which a round of reports moves the usual load of a target.
 const USUAL_PART: f64 = 0.3;
 
@@ -180,6 +192,10 @@
     reports: i32,
     /// Targets that have started again while requests waited there.
     restarted: Vec<Quiet>,
+    /// Targets that have said that they leave, and when this router learnt of it.
+    departures: VecDeque<(Instant, Departure)>,
+    /// Those of them of which another router told, until they are taken.
+    departed: Vec<String>,
     closed: BTreeSet<String>,
     cold_rates: BTreeMap<String, f64>,
     loads: Loads,
@@ -219,6 +235,9 @@
             Some(record) => {
                 let restarted = record.row.born != row.born;
                 let changed = !record.row.says_the_same(&row) || record.missing.is_some();
+                if record.is_restarted(&row) {
+                    record.wish = Wish::default();
+                }
                 if restarted {
                     self.restarted.extend(record.quiet(now, name));
                     record.health = Health::default();
@@ -245,6 +264,7 @@
                     health,
                     gate,
                     usual,
+                    wish: Wish::default(),
                 };
                 self.names.insert(short, name.to_owned());
                 self.records.insert(name.to_owned(), record);
@@ -307,6 +327,9 @@
         for read in &report.reads {
             self.parts.note(now, *read);
         }
+        for departure in &report.departures {
+            self.departs(now, *departure);
+        }
         for change in &report.changes {
             match &change.row {
                 Some(row) => self.list(now, &change.name, row.clone(), change.revision),
@@ -364,6 +387,41 @@
         }
     }
 
+    /// Takes what the head of an answer asks for; returns what changes by it.
+    pub fn notice(&mut self, now: Instant, target: &str, notice: Notice) -> Change {
+        let Some(record) = self.records.get_mut(target) else { return Change::Known };
+        let change = record.wish.take(now, notice);
+        if change == Change::Leaves {
+            let born = record.row.born.unwrap_or_default();
+            self.departures.push_back((now, Departure { target: record.short, born }));
+        }
+        change
+    }
+
+    /// Targets that have said in answers that they leave, for the next report.
+    pub fn departures(&mut self, now: Instant) -> Vec<Departure> {
+        self.departures.retain(|(at, _)| now.saturating_duration_since(*at) <= DEPARTURE_TIME);
+        let latest = self.departures.iter().rev().take(report::LIST_LIMIT);
+        latest.map(|(_, departure)| *departure).collect()
+    }
+
+    /// Takes the targets that leave by the word of other routers, since the last call.
+    pub fn take_departed(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.departed)
+    }
+
+    /// Takes the word of another router that a target leaves, unless it has started again since.
+    fn departs(&mut self, now: Instant, departure: Departure) {
+        let Some(name) = self.names.get(&departure.target).cloned() else { return };
+        let born = self.records.get(&name).map(|record| record.row.born.unwrap_or_default());
+        if born == Some(departure.born) {
+            let notice = Notice { leaving: true, rest: None };
+            if self.notice(now, &name, notice) == Change::Leaves {
+                self.departed.push(name);
+            }
+        }
+    }
+
     /// Targets that have given no sign for a time while requests waited there.
     #[must_use]
     pub fn quiet(&self, now: Instant, time: Duration) -> Vec<Quiet> {
--- a/crates/cornelpass-core/src/fleet/choice.rs
+++ b/crates/cornelpass-core/src/fleet/choice.rs
@@ -174,6 +174,13 @@
         if serving.is_empty() {
             return Err(Refusal { reason: Reason::NoTarget, wait: ROOM_WAIT });
         }
+        let (resting, serving): (Vec<_>, Vec<_>) =
+            serving.into_iter().partition(|(_, record)| record.wish.rest(now).is_some());
+        if serving.is_empty() {
+            let rests = resting.iter().filter_map(|(_, record)| record.wish.rest(now));
+            let wait = rests.min().unwrap_or(ROOM_WAIT);
+            return Err(Refusal { reason: Reason::Overloaded, wait });
+        }
         let bound = self.bound(now, &request.service);
         let sight = self.sight(now);
         let open: Vec<(&str, &Record)> =
@@ -342,6 +349,7 @@
 
     fn takes_work(&self, record: &Record, now: Instant) -> bool {
         record.row.state == State::Ready
+            && !record.wish.is_leaving()
             && !self.closed.contains(&record.row.data_centre)
             && record.missing.is_none_or(|at| self.lapsed(at, now))
     }
--- a/crates/cornelpass-core/src/fleet/lookout.rs
+++ b/crates/cornelpass-core/src/fleet/lookout.rs
@@ -21,7 +21,7 @@
 const FRESH: Duration = Duration::from_millis(1_500);
 
 /// Time for which a change is told.
-const TELL_PERIOD: Duration = Duration::from_millis(2_500);
+pub const TELL_PERIOD: Duration = Duration::from_millis(2_500);
 
 /// Most changes that are told.
 const MEMORY_LIMIT: usize = 256;
--- a/crates/cornelpass-core/src/report.rs
+++ b/crates/cornelpass-core/src/report.rs
@@ -69,6 +69,15 @@
     pub row: Option<Row>,
 }
 
+/// A target has said in an answer that it is about to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Short hash of the target.
+    pub target: u32,
+    /// Time of its start in milliseconds since 1970; 0 if it is not known.
+    pub born: u64,
+}
+
 /// Most changed entries in one report.
 pub const CHANGE_LIMIT: usize = 6;
 
@@ -102,6 +111,8 @@
     pub changed: u32,
     /// Entries that the platform has told this router to have changed a moment ago.
     pub changes: Vec<Change>,
+    /// Targets that have said a moment ago that they leave.
+    pub departures: Vec<Departure>,
 }
 
 /// Time between two reports of a length in bytes, to a number of other routers.
--- a/crates/cornelpass-core/tests/common/routers.rs
+++ b/crates/cornelpass-core/tests/common/routers.rs
@@ -121,6 +121,7 @@
             loads: fleet.loads().list(now),
             failures: fleet.failures(now),
             reads: fleet.parts().news(report::read_limit(others)),
+            departures: fleet.departures(now),
             ..Report::default()
         };
         let host = u8::try_from(router).unwrap();
--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -92,6 +92,10 @@
     TargetStanding = 503,
     /// A target is gone without having closed its connections.
     TargetSilent = 504,
+    /// A target has said in an answer that it is about to stop.
+    TargetLeaves = 505,
+    /// A target has turned a request away and named a time for which it wants nothing.
+    TargetRests = 506,
     /// The outcome of a call could not be recorded yet.
     ClaimPending = 600,
     /// A call's outcome is unknown.
--- a/crates/cornelpass-router/src/gateway/exchange.rs
+++ b/crates/cornelpass-router/src/gateway/exchange.rs
@@ -8,8 +8,11 @@
 use cornelpass_core::fleet::Choice;
 use cornelpass_core::fleet::health;
 use cornelpass_core::fleet::load::Ticket;
+use cornelpass_core::fleet::notice::{Change, MAX_REST, Notice};
 use cornelpass_core::refusal::{Reason, Run};
 use cornelpass_core::request::{Form, Repeat, Request};
+use cornelpass_operator::event::Code;
+use cornelpass_operator::log;
 use cornelpass_target::dialect::{Aside, Order, Reading};
 use cornelpass_target::error::Error;
 use cornelpass_target::pool::Lease;
@@ -255,7 +258,8 @@
         response: Response<Incoming>,
     ) -> Outcome {
         let (parts, body) = response.into_parts();
-        let aside = state.dialect.aside(&parts.headers);
+        let mut aside = state.dialect.aside(&parts.headers);
+        aside.closes |= self.heed(state, &sending.choice, parts.status, &parts.headers).leaving;
         let reading = state.dialect.read(&self.request.id, parts.status, &parts.headers);
         let (success, weights) = match reading {
             Reading::Foreign | Reading::Garbage => return Outcome::lost(Reason::TargetError),
@@ -296,6 +300,30 @@
         }
     }
 
+    /// Heeds what the head of an answer asks of this router.
+    fn heed(
+        &self,
+        state: &State,
+        choice: &Choice,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Notice {
+        let notice = state.dialect.notice(status, headers);
+        let (id, target) = (&self.request.id, &choice.target);
+        match state.fleet().notice(state.clock.now(), target, notice) {
+            Change::Known => {}
+            Change::Leaves => {
+                state.pool.forget(choice.address);
+                log!(Code::TargetLeaves, target, id);
+            }
+            Change::Rests => {
+                let rest = notice.rest.unwrap_or_default().min(MAX_REST);
+                log!(Code::TargetRests, target, id, rest_ms = rest.as_millis() as u64);
+            }
+        }
+        notice
+    }
+
     fn left(&self, state: &State) -> Duration {
         self.request.left(state.clock.now())
     }
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -83,7 +83,13 @@
     let now = state.clock.now();
     let version = report.version;
     state.told_of_orders(report.orders);
-    let news = state.fleet().told(now, address, report);
+    let (news, departed) = {
+        let mut fleet = state.fleet();
+        (fleet.told(now, address, report), fleet.take_departed())
+    };
+    for target in departed {
+        log!(Code::TargetLeaves, target, told_by = %address);
+    }
     match news {
         News::Joined => log!(Code::PeerJoined, router = %address, version),
         News::Returned => log!(Code::PeerReturned, router = %address, version),
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -147,6 +147,9 @@
         Err(refusal) => {
             if progress.course.attempts() == 0 {
                 (progress.reason, progress.wait) = (refusal.reason, refusal.wait);
+            } else if refusal.reason == Reason::Overloaded {
+                // The others have named the time at which the first of them is free.
+                progress.wait = progress.wait.max(refusal.wait);
             }
             return finish(state, answer, progress).await;
         }
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -269,6 +269,7 @@
             listed_ms: fleet.lookout().age_ms(now),
             changed: fleet.lookout().count(),
             changes: fleet.lookout().news(now),
+            departures: fleet.departures(now),
         }
     }
 
--- a/crates/cornelpass-target/src/dialect.rs
+++ b/crates/cornelpass-target/src/dialect.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cornelpass_core::fleet::notice::Notice;
 use cornelpass_core::request::Request;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -78,6 +79,9 @@
     /// Reads what the head says besides.
     fn aside(&self, headers: &HeaderMap) -> Aside;
 
+    /// Reads what the head of an answer asks of the router.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
+
     /// Removes the headers that concern one connection only.
     fn strip(&self, headers: &mut HeaderMap);
 }
