perf(core): fetch a prompt from its former home though others hold its first part

Change: of the known holder and the probable former home, the one that saves more is asked. A choice has its cause (holder, home, bound, doubt, ...), which the log tells with the prompt's parts and the fetch's source.

--- a/crates/cornelpass-core/src/fleet/choice.rs
+++ b/crates/cornelpass-core/src/fleet/choice.rs
@@ -30,14 +30,42 @@
     pub standing: Standing,
     /// Place in the order of preference before loads and health counted, from 0.
     pub place: usize,
+    /// Why the request goes there.
+    pub cause: Cause,
     /// Where the target can fetch parts of the prompt from.
     pub fetch: Option<Fetch>,
 }
 
+/// Why a request goes to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cause {
+    /// It has the least load, for a request without a prompt.
+    Least,
+    /// It holds the shared parts of the prompt.
+    Holds,
+    /// Nobody is known to hold them, and it comes first by hash.
+    Home,
+    /// The better one has been tried, or may not be tried any more.
+    Tried,
+    /// The better one is away.
+    Away,
+    /// The better one is at its load bound.
+    Bound,
+    /// The better one fails a part of its requests.
+    Doubt,
+    /// The better one is cold and has no place left.
+    Cold,
+}
+
 /// A fetch of parts of a prompt from another target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fetch {
-    /// Address of the other target.
+    /// Name of the other target.
+    pub target: String,
+    /// Whether nobody has told that it holds them.
+    pub guessed: bool,
+    /// Its address.
     pub address: SocketAddr,
     /// Tokens that need not be read again.
     pub tokens: u32,
@@ -56,6 +84,8 @@
 struct Ranking<'a> {
     /// Names, the most preferred first.
     order: Vec<&'a str>,
+    /// Why the first one comes first.
+    cause: Cause,
     /// Load that each may reach, in requests.
     bound: u32,
 }
@@ -151,11 +181,12 @@
         let cold = ranking.order.iter().take_while(|name| self.is_cold(&self.records[**name], now));
         let tried: Vec<String> =
             ranking.order.iter().take(cold.count() + 1).map(|name| (*name).to_owned()).collect();
-        let bound = ranking.bound;
+        let (bound, mut cause) = (ranking.bound, ranking.cause);
         for name in tried {
             if self.admit(&name, now) {
-                return Ok(self.choice(now, request, &name, bound));
+                return Ok(Choice { cause, ..self.choice(now, request, &name, bound) });
             }
+            cause = Cause::Cold;
         }
         Err(Refusal { reason: Reason::Warming, wait: ROOM_WAIT })
     }
@@ -200,14 +231,43 @@
             }
             None => Least.rank(request.key(), &candidates),
         };
+        let best = ranked.first().copied();
         // A failing target may answer; one over its bound crushes all that it runs.
         ranked.sort_by_cached_key(|index| {
             let (name, record) = open[*index];
             let doubt = record.doubt(now, request.repeat);
             (course.claim(name), doubt == Standing::Away, candidates[*index].over(), doubt)
         });
+        let cause = match (best, ranked.first().copied()) {
+            (Some(best), Some(first)) => {
+                let over = candidates[best].over();
+                self.cause(now, request, course, (open[best].1, over), best == first)
+            }
+            _ => Cause::Home,
+        };
         let order = ranked.into_iter().map(|index| open[index].0).collect();
-        Ok(Ranking { order, bound })
+        Ok(Ranking { order, cause, bound })
+    }
+
+    /// Why a request goes to the first of a ranking, in view of the one that comes first for the prompt
+    /// alone, and whether that is over its bound.
+    fn cause(
+        &self,
+        now: Instant,
+        request: &Request,
+        course: &Course,
+        (best, over): (&Record, bool),
+        chosen: bool,
+    ) -> Cause {
+        let Some(prompt) = &request.prompt else { return Cause::Least };
+        match best.doubt(now, request.repeat) {
+            _ if course.attempts() > 0 => Cause::Tried,
+            _ if chosen && self.holding(now, prompt).targets.contains(&best.short) => Cause::Holds,
+            _ if chosen => Cause::Home,
+            Standing::Away => Cause::Away,
+            _ if over => Cause::Bound,
+            _ => Cause::Doubt,
+        }
     }
 
     /// A target as it is told to whoever sends the request.
@@ -219,10 +279,22 @@
             let home = self.home(now, prompt, &request.service);
             place = home.place(name);
             let known = self.fetch(now, name, prompt);
-            fetch = known.or_else(|| self.guess(now, name, prompt, &home));
+            let guess = self.guess(now, name, prompt, &home);
+            // Many targets hold a first part; the former home of the rest probably holds that as well.
+            fetch =
+                known.into_iter().chain(guess).max_by_key(|fetch| (fetch.tokens, !fetch.guessed));
         }
         let (target, address) = (name.to_owned(), record.row.address);
-        Choice { target, address, load, bound, standing: record.health.standing(now), place, fetch }
+        Choice {
+            target,
+            address,
+            load,
+            bound,
+            standing: record.health.standing(now),
+            place,
+            cause: Cause::Home,
+            fetch,
+        }
     }
 
     /// Where a target can fetch parts of a prompt from.
@@ -238,8 +310,9 @@
             self.by_short(other).is_some_and(|record| record.row.data_centre == *data_centre)
         };
         let source = self.parts.source(target, prompt, may_ask, near)?;
-        let address = self.by_short(source.target)?.row.address;
-        Some(Fetch { address, tokens: source.tokens })
+        let name = self.names.get(&source.target)?;
+        let address = self.address(name)?;
+        Some(Fetch { target: name.clone(), guessed: false, address, tokens: source.tokens })
     }
 
     /// The targets of a service, by the order in which a prompt looks for its home.
@@ -276,8 +349,8 @@
             }
             false => first,
         };
-        let address = self.address(other)?;
-        Some(Fetch { address, tokens: prompt.shared_tokens() })
+        let (address, tokens) = (self.address(other)?, prompt.shared_tokens());
+        Some(Fetch { target: (*other).to_owned(), guessed: true, address, tokens })
     }
 
     fn holding(&self, now: Instant, prompt: &Prompt) -> Holding<'_> {
--- a/crates/cornelpass-core/src/request.rs
+++ b/crates/cornelpass-core/src/request.rs
@@ -100,6 +100,14 @@
         })
     }
 
+    /// The shared parts for a log: each as the short hash of it and all before it, and its length.
+    #[must_use]
+    pub fn outline(&self) -> String {
+        let chain = self.chain().take(self.shared().len()).zip(self.shared());
+        let parts = chain.map(|((hash, _), part)| format!("{:08x}:{}", hash >> 32, part.tokens));
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     /// Length of the shared parts, in tokens.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -12,7 +12,7 @@
 use cornelpass_core::events::Events;
 use cornelpass_core::plan::{Limits, Plan};
 use cornelpass_core::refusal::{Reason, Run};
-use cornelpass_core::request::Request;
+use cornelpass_core::request::{Prompt, Request};
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use cornelpass_operator::metrics::gateway::Ending;
@@ -167,7 +167,11 @@
         bound = choice.bound,
         standing = %choice.standing,
         place = choice.place,
+        cause = %choice.cause,
+        parts = request.prompt.as_ref().map_or_else(String::new, Prompt::outline),
         fetch = choice.fetch.as_ref().map_or(0, |fetch| fetch.tokens),
+        source = choice.fetch.as_ref().map_or("", |fetch| &fetch.target),
+        guessed = choice.fetch.as_ref().is_some_and(|fetch| fetch.guessed),
         version = state.plan().map_or(0, |plan| plan.version),
         list_ms,
         reports_ms
