--- a/crates/cornelpass-core/src/fleet/choice.rs
+++ b/crates/cornelpass-core/src/fleet/choice.rs
@@ -1,6 +1,6 @@
 //! Which target a request goes to.
 //!
-//! The accountant ([`crate::account`]) of the first target of a [ranking](super::ranking) is asked whether
+//! The accountant ([`crate::account`]) of the first target of a ranking (`ranking`) is asked whether
 //! that may get the request; if not, another one comes first. Where nobody can be asked, this router goes by
 //! what it was last told.
 
