feat(core): number what leaves without gaps, tell it at once, and ask seldom

Reading the protocol of changes for holes of that size gave three: a leaving target was told with the next report, up to two seconds after the platform had told it; changes between the last call of one router that asks for all and the first one of its successor had no number, so that nobody missed them; a removal that only a whole list showed was told to nobody.

Change: routers that ask often say from which revision to which they have numbered all changes (report::Span), and count as such by that; who is told less than that for three quarters of the drain time asks the platform. They report within 0.15 of that time, wait at the platform no longer than 0.2 of it, and tell what leaves at once, twice, in short form. One topic asks for all while the platform refuses. A call that waits is broken off only if the platform has not told within 150 ms what another router knows.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -35,7 +35,7 @@
 use crate::account::message::Stamp;
 use crate::admission::suspect::Ledger;
 use crate::peers::{News, Peers};
-use crate::report::{self, Departure, Report};
+use crate::report::{self, Departure, Entry, Report};
 use crate::request::Repeat;
 
 /// Time after the platform's return within which entries that lapsed meanwhile come back.
@@ -95,11 +95,19 @@
     pub cold_over: f64,
     /// Requests that it bears on top.
     pub cold_slack: u32,
+    /// Time in which a leaving target has to see its last request.
+    pub drain: Duration,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { load_multiple: 2.0, load_slack: 3, cold_over: 1.5, cold_slack: 5 }
+        Self {
+            load_multiple: 2.0,
+            load_slack: 3,
+            cold_over: 1.5,
+            cold_slack: 5,
+            drain: Duration::from_secs(3),
+        }
     }
 }
 
@@ -219,6 +227,8 @@
     peers: Peers,
     parts: Parts,
     lookout: Lookout,
+    /// Targets whose last change another router told first.
+    second_hand: BTreeSet<String>,
     suspects: Ledger,
     /// Since when the platform answers again, if it was away.
     returned: Option<Instant>,
@@ -307,7 +317,7 @@
         let names: Vec<String> =
             self.records.keys().filter(|name| !listed.contains(*name)).cloned().collect();
         for name in names {
-            self.unlist(now, &name, revision);
+            self.heard(now, &name, None, revision);
         }
     }
 
@@ -349,10 +359,19 @@
             self.departs(now, *departure);
         }
         for change in &report.changes {
-            match &change.row {
-                Some(row) => self.list(now, &change.name, row.clone(), change.revision),
-                None => self.unlist(now, &change.name, change.revision),
+            let known = || self.records.get(&change.name).map(|record| record.row.clone());
+            let new = match &change.entry {
+                Entry::Row(row) => self.list(now, &change.name, row.clone(), change.revision),
+                // Nothing is sent to a target that is not known.
+                Entry::Leaving => known().is_some_and(|row| {
+                    let row = Row { state: State::Leaving, ..row };
+                    self.list(now, &change.name, row, change.revision)
+                }),
+                Entry::Removed => self.unlist(now, &change.name, change.revision),
             };
+            if new {
+                self.second_hand.insert(change.name.clone());
+            }
         }
         let Report { incarnation, leaving, .. } = report;
         let news = self.peers.take(now, router, report);
--- a/crates/cornelpass-core/src/peers.rs
+++ b/crates/cornelpass-core/src/peers.rs
@@ -42,9 +42,22 @@
     beyond: BTreeSet<u32>,
     /// Since when some are missing.
     missing: Option<Instant>,
+    /// Changes after this revision of the platform have arrived if all numbers have.
+    from: u64,
 }
 
 impl Changes {
+    /// Those of a router that is heard for the first time.
+    fn first(report: &Report) -> Self {
+        let all = u32::try_from(report.changes.len()) == Ok(report.changed);
+        let to = report.span.map_or(0, |span| span.to);
+        match all {
+            true => Self::default(),
+            // Earlier ones are not asked for by their numbers.
+            false => Self { whole: report.changed, from: to, ..Self::default() },
+        }
+    }
+
     fn take(&mut self, now: Instant, report: &Report) {
         self.beyond.extend(report.changes.iter().map(|change| change.number));
         while self.beyond.remove(&(self.whole + 1)) {
@@ -78,6 +91,10 @@
     /// This router's own address, which others may tell.
     own: Option<SocketAddr>,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// All changes of targets up to this revision of the platform are known.
+    covered: u64,
+    /// When the platform told somebody of the last of them.
+    covered_at: Option<Instant>,
 }
 
 impl Peers {
@@ -117,9 +134,11 @@
         }
         let Some(peer) = self.peers.get_mut(&address) else {
             let period = report::MIN_PERIOD;
-            let changes = Changes { whole: report.changed, ..Changes::default() };
+            let mut changes = Changes::first(&report);
+            changes.take(now, &report);
             let peer = Peer { known: now, heard: Some(now), period, report, changes };
             self.peers.insert(address, peer);
+            self.cover(now, address);
             return News::Joined;
         };
         let restarted = peer.report.incarnation != report.incarnation;
@@ -136,13 +155,37 @@
             peer.period = (peer.period * 3 + gap) / 4;
         }
         if restarted {
-            peer.changes = Changes { whole: report.changed, ..Changes::default() };
+            peer.changes = Changes::first(&report);
         }
         peer.changes.take(now, &report);
         (peer.known, peer.heard, peer.report) = (now, Some(now), report);
+        self.cover(now, address);
         news
     }
 
+    /// Takes the revisions between which a router has numbered changes, if all of these have arrived.
+    fn cover(&mut self, now: Instant, address: SocketAddr) {
+        let Some(peer) = self.peers.get(&address) else { return };
+        let Some(span) = peer.report.span else { return };
+        let from = span.from.max(peer.changes.from);
+        let whole = peer.changes.missing.is_none() && from <= self.covered;
+        if whole && span.to >= self.covered {
+            let age = Duration::from_millis(u64::from(peer.report.listed_ms));
+            let at = now.checked_sub(age);
+            self.covered = span.to;
+            self.covered_at = self.covered_at.max(at);
+        }
+    }
+
+    /// Whether nobody has told for a time all that the platform tells.
+    ///
+    /// So it is where the routers that asked often are all replaced at once, though their successors ask
+    /// often as well: what changed before these began has no number.
+    #[must_use]
+    pub fn is_behind(&self, now: Instant, time: Duration) -> bool {
+        self.covered_at.is_none_or(|at| now.saturating_duration_since(at) >= time)
+    }
+
     /// Whether changes that others know have been missing for a time.
     #[must_use]
     pub fn miss_changes(&self, now: Instant, since: Duration) -> bool {
@@ -151,11 +194,13 @@
         })
     }
 
-    /// The platform has told this router all changes that the others told of so far.
-    pub fn caught_up(&mut self) {
+    /// The platform has told this router all changes up to a revision, which the others told of so far.
+    pub fn caught_up(&mut self, now: Instant, revision: u64) {
+        self.covered = self.covered.max(revision);
+        self.covered_at = Some(now);
         for peer in self.peers.values_mut() {
             let whole = peer.changes.whole.max(peer.report.changed);
-            peer.changes = Changes { whole, ..Changes::default() };
+            peer.changes = Changes { whole, from: peer.changes.from, ..Changes::default() };
         }
     }
 
--- a/crates/cornelpass-core/src/report.rs
+++ b/crates/cornelpass-core/src/report.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::digest;
-use crate::fleet::Row;
+use crate::fleet::{Row, State};
 
 /// Most that one router sends to all others, in bytes a second: the users' aim for control.
 pub const BYTES_PER_SECOND: u32 = 4096;
@@ -65,8 +65,49 @@
     pub name: String,
     /// Revision of the entry.
     pub revision: u64,
-    /// The entry; none if it was removed.
-    pub row: Option<Row>,
+    /// What it says now.
+    pub entry: Entry,
+}
+
+/// What an entry that has changed says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// It takes work, as this says.
+    Row(Row),
+    /// It is about to stop; the rest is as it was.
+    Leaving,
+    /// It was removed.
+    Removed,
+}
+
+impl Entry {
+    /// What an entry says, if there is one.
+    #[must_use]
+    pub fn of(row: Option<Row>) -> Self {
+        match row {
+            Some(row) if row.state == State::Ready => Self::Row(row),
+            Some(_) => Self::Leaving,
+            None => Self::Removed,
+        }
+    }
+
+    /// Length in a report, in parts of [`CHANGES_LENGTH`].
+    #[must_use]
+    pub const fn length(&self) -> usize {
+        match self {
+            Self::Row(_) => 4,
+            Self::Leaving | Self::Removed => 1,
+        }
+    }
+}
+
+/// Revisions of the platform between which a router has numbered all changes of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Span {
+    /// Changes after this one have numbers.
+    pub from: u64,
+    /// Changes after this one are not known yet.
+    pub to: u64,
 }
 
 /// A target has said in an answer that it is about to stop.
@@ -78,8 +119,8 @@
     pub born: u64,
 }
 
-/// Most changed entries in one report.
-pub const CHANGE_LIMIT: usize = 6;
+/// Most that the changed entries in one report are long, by [`Entry::length`]: six whole ones.
+pub const CHANGES_LENGTH: usize = 24;
 
 /// Age of what the platform told, as far as it can be told, in milliseconds.
 pub const MAX_AGE_MS: u16 = u16::MAX;
@@ -107,6 +148,8 @@
     pub changed: u32,
     /// Entries that the platform has told this router to have changed a moment ago.
     pub changes: Vec<Change>,
+    /// Revisions of the platform between which it has numbered all changes; none if it asks seldom.
+    pub span: Option<Span>,
     /// Targets that have said a moment ago that they leave.
     pub departures: Vec<Departure>,
 }
--- a/crates/cornelpass-core/tests/common/routers.rs
+++ b/crates/cornelpass-core/tests/common/routers.rs
@@ -21,8 +21,13 @@
 pub(crate) const SERVICE: &str = "model-pool";
 
 /// Most load as a multiple of the mean, and what comes on top, in requests.
-pub(crate) const BOUNDS: Bounds =
-    Bounds { load_multiple: 2.0, load_slack: 3, cold_over: 1.5, cold_slack: 5 };
+pub(crate) const BOUNDS: Bounds = Bounds {
+    load_multiple: 2.0,
+    load_slack: 3,
+    cold_over: 1.5,
+    cold_slack: 5,
+    drain: Duration::from_secs(3),
+};
 
 pub(crate) fn address(host: usize) -> SocketAddr {
     let host = u32::try_from(host).unwrap();
--- a/crates/cornelpass-core/tests/peers.rs
+++ b/crates/cornelpass-core/tests/peers.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use common::routers::row;
-use cornelpass_core::fleet::lookout::{self, LOOKOUTS, Lookout};
+use cornelpass_core::fleet::lookout::{self, LOOKOUTS, Lookout, Pauses};
+use cornelpass_core::fleet::{Bounds, Fleet, Row};
 use cornelpass_core::peers::{FORGET_TIMEOUT, MEMBER_TIMEOUT, News, Peers};
-use cornelpass_core::report::{self, CHANGE_LIMIT, Change, Report};
+use cornelpass_core::report::{self, CHANGES_LENGTH, Change, Entry, Report, Span};
 
 fn address(host: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], 7000))
@@ -80,13 +81,14 @@
 #[test]
 fn the_first_routers_by_address_ask_often() {
     let now = Instant::now();
-    let listed = |listed_ms| Report { listed_ms, ..report(1, 1) };
+    let span = Some(Span { from: 1, to: 1 });
+    let listed = |listed_ms| Report { listed_ms, span, ..report(1, 1) };
     let often = |own: u8, others: &[(u8, u16)]| {
         let mut peers = Peers::new();
         for (host, listed_ms) in others {
             peers.take(now, address(*host), listed(*listed_ms));
         }
-        lookout::asks_often(now, address(own), &peers)
+        lookout::asks_often(now, address(own), &peers, Duration::from_secs(2))
     };
     assert_eq!(LOOKOUTS, 2);
     assert!(often(1, &[(2, 100), (3, 100), (4, 100)]));
@@ -100,7 +102,8 @@
 fn changes_are_told_in_turn_and_for_a_while() {
     let start = Instant::now();
     let mut lookout = Lookout::default();
-    let count = CHANGE_LIMIT * 2 + 1;
+    lookout.listed(start, 0, true);
+    let count = CHANGES_LENGTH * 2 + 1;
     for number in 0..count {
         let name = format!("t-{number}");
         lookout.changed(start, &name, number as u64, None);
@@ -108,7 +111,7 @@
     let mut told = std::collections::BTreeSet::new();
     for _ in 0..3 {
         let news = lookout.news(start);
-        assert!(news.len() <= CHANGE_LIMIT);
+        assert!(news.len() <= CHANGES_LENGTH);
         told.extend(news.into_iter().map(|change| change.name));
     }
     assert_eq!(told.len(), count);
@@ -116,8 +119,12 @@
 }
 
 fn told(sequence: u32, changed: u32, numbers: &[u32]) -> Report {
-    let change =
-        |number: &u32| Change { number: *number, name: String::new(), revision: 1, row: None };
+    let change = |number: &u32| Change {
+        number: *number,
+        name: String::new(),
+        revision: 1,
+        entry: Entry::Removed,
+    };
     let changes = numbers.iter().map(change).collect();
     Report { incarnation: 1, sequence, changed, changes, ..Report::default() }
 }
@@ -135,7 +142,7 @@
     assert!(!peers.miss_changes(start + limit, limit), "all have arrived, in another order");
     peers.take(start, address(1), told(4, 9, &[]));
     assert!(peers.miss_changes(start + limit, limit));
-    peers.caught_up();
+    peers.caught_up(start, 0);
     assert!(!peers.miss_changes(start + limit, limit));
 }
 
@@ -148,11 +155,131 @@
     assert!(!peers.miss_changes(start + Duration::from_secs(9), Duration::ZERO));
 }
 
+/// A report of a router that has numbered all changes between two revisions, and told them.
+fn spanning(sequence: u32, from: u64, to: u64) -> Report {
+    Report { span: Some(Span { from, to }), ..told(sequence, 0, &[]) }
+}
+
+#[test]
+fn changes_that_nobody_numbered_are_missed() {
+    let start = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut peers = Peers::new();
+    assert!(peers.is_behind(start, second), "nobody has told anything");
+    peers.caught_up(start, 10);
+    assert!(!peers.is_behind(start, second));
+    let mut now = start + second;
+    assert!(peers.is_behind(now, second));
+    peers.take(now, address(1), spanning(1, 5, 20));
+    assert!(!peers.is_behind(now, second), "all up to 20 are known");
+    now += second;
+    peers.take(now, address(2), spanning(1, 30, 30));
+    assert!(peers.is_behind(now, second), "nobody told what changed from 20 to 30");
+    peers.take(now, address(4), Report { changed: 2, ..spanning(1, 5, 40) });
+    assert!(peers.is_behind(now, second), "it told two changes before it was heard");
+    peers.take(now, address(1), spanning(2, 5, 32));
+    assert!(!peers.is_behind(now, second), "the first router had numbered them");
+    now += second;
+    peers.take(now, address(2), spanning(2, 30, 50));
+    assert!(!peers.is_behind(now, second), "the second one goes on from there");
+    let old = Report { listed_ms: 1_000, ..spanning(3, 30, 50) };
+    now += second;
+    peers.take(now, address(2), old);
+    assert!(peers.is_behind(now, second), "the platform told it no more");
+}
+
+#[test]
+fn a_router_numbers_what_another_one_told_it_before_the_platform_did() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(Bounds::default()).at(address(1), 1);
+    fleet.list(now, "t", row(1, "a"), 1);
+    fleet.caught_up(now, 1);
+    let change = Change { number: 1, name: "t".to_owned(), revision: 2, entry: Entry::Removed };
+    fleet.told(now, address(2), Report { changed: 1, changes: vec![change], ..report(7, 1) });
+    fleet.heard(now, "t", None, 2);
+    fleet.caught_up(now, 2);
+    assert_eq!(fleet.lookout().span(), Some(Span { from: 1, to: 2 }));
+    let news = fleet.lookout().news(now);
+    assert_eq!(news.iter().map(|change| change.name.as_str()).collect::<Vec<_>>(), ["t"]);
+}
+
+#[test]
+fn the_first_list_is_no_change_but_what_a_later_one_lacks_is() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(Bounds::default()).at(address(1), 1);
+    for host in 1..4 {
+        fleet.heard(now, &format!("t-{host}"), Some(row(host, "a")), 1);
+    }
+    fleet.caught_up(now, 1);
+    assert_eq!(fleet.lookout().count(), 0);
+    fleet.retain(now, &["t-1".to_owned(), "t-2".to_owned()].into(), 5);
+    assert_eq!(fleet.lookout().news(now)[0].name, "t-3");
+}
+
+#[test]
+fn whole_entries_take_the_place_of_several_that_end() {
+    let now = Instant::now();
+    let mut lookout = Lookout::default();
+    lookout.listed(now, 1, true);
+    for host in 0..20 {
+        lookout.changed(now, &format!("new-{host}"), 2, Some(row(host, "a")));
+        lookout.changed(now, &format!("gone-{host}"), 3, None);
+    }
+    let length = |news: &[Change]| news.iter().map(|change| change.entry.length()).sum::<usize>();
+    let news = lookout.news(now);
+    assert!(length(&news) <= CHANGES_LENGTH);
+    assert_eq!(news.iter().filter(|change| change.entry == Entry::Removed).count(), 20);
+    let leaving = common::routers::leaving(row(1, "a"));
+    assert_eq!(Entry::of(Some(leaving)), Entry::Leaving);
+}
+
+#[test]
+fn a_target_that_another_router_says_is_leaving_keeps_the_rest_of_its_entry() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(Bounds::default()).at(address(1), 1);
+    fleet.list(now, "t", row(1, "a"), 1);
+    let change = |name: &str| Change {
+        number: 1,
+        name: name.to_owned(),
+        revision: 2,
+        entry: Entry::Leaving,
+    };
+    let changes = vec![change("t"), change("unknown")];
+    fleet.told(now, address(2), Report { changed: 2, changes, ..report(7, 1) });
+    let listed: Vec<Row> = fleet.listed().map(|(_, row, _)| row.clone()).collect();
+    assert_eq!(listed, [common::routers::leaving(row(1, "a"))]);
+}
+
+#[test]
+fn a_target_that_leaves_is_told_at_once_and_again() {
+    let now = Instant::now();
+    let mut lookout = Lookout::default();
+    lookout.listed(now, 1, true);
+    lookout.changed(now, "new", 2, Some(row(1, "a")));
+    assert!(!lookout.hurries());
+    lookout.changed(now, "gone", 3, None);
+    for _ in 0..2 {
+        assert!(lookout.hurries());
+        lookout.news(now);
+    }
+    assert!(!lookout.hurries());
+}
+
+#[test]
+fn few_bytes_are_read_where_others_tell_of_changes() {
+    let drain = Duration::from_secs(3);
+    for targets in [3, 120, 600, 3_000] {
+        let seldom = Pauses::new(drain, targets).seldom;
+        assert!(targets as f64 * 300.0 / seldom.as_secs_f64() <= 4096.0 / 4.0, "{targets}");
+    }
+}
+
 #[test]
 fn targets_that_leave_are_told_first() {
     let start = Instant::now();
     let mut lookout = Lookout::default();
-    for number in 0..CHANGE_LIMIT * 2 {
+    lookout.listed(start, 1, true);
+    for number in 0..CHANGES_LENGTH * 2 {
         lookout.changed(start, &format!("new-{number}"), 1, Some(row(1, "a")));
     }
     lookout.changed(start, "gone", 2, None);
--- a/crates/cornelpass-router/src/gateway/follow.rs
+++ b/crates/cornelpass-router/src/gateway/follow.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cornelpass_core::fleet::lookout;
+use cornelpass_core::fleet::lookout::Next;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use cornelpass_operator::settings::gateway::Bounds;
@@ -43,12 +43,16 @@
 /// The same while there is nothing to serve by, for which callers wait.
 const START_PAUSE: Duration = Duration::from_millis(80);
 
-/// Pause between two calls for changes of targets, whose entries change all the time, as a part of
-/// the time in which a leaving target has to see its last request.
-const OFTEN_PART: f64 = 0.4;
+/// Longest pause then.
+const MAX_START_PAUSE: Duration = Duration::from_millis(320);
 
-/// The same where other routers tell of the changes.
-const SELDOM_PAUSE: Duration = Duration::from_secs(10);
+/// Pause of the other topics while the operators' topic gets no answer: it is asked for all of them, unless
+/// only a part of the platform is away.
+const SILENT_PAUSE: Duration = Duration::from_secs(5);
+
+/// Time for the platform to tell by itself what another router knows already, before a call that waits for
+/// it is broken off.
+const BEHIND_PAUSE: Duration = Duration::from_millis(150);
 
 /// Pause between two calls for changes of the routers, which start and stop many at a time; each also
 /// tells the others itself.
@@ -85,11 +89,13 @@
         };
         let failed = answer.is_err();
         note(&state, topic, &mut known, answer.as_ref().err());
-        let mut more = false;
+        let mut pauses = true;
         match answer {
             Ok((Changes::Page(page), whole)) => {
                 known.revision = Some(page.revision);
-                more = page.more;
+                // A router that others rely on waits at the platform rather than here.
+                let idle = page.entries.is_empty() && asks_often(&state);
+                pauses = !(page.more || idle);
                 take(&state, topic, page, whole, &mut closed);
             }
             Ok((Changes::Lost, _)) => known.revision = None,
@@ -100,12 +106,12 @@
             if known.failures >= REREAD_FAILURES {
                 known.revision = None;
             }
-            sleep(retry_pause(&state, known.failures)).await;
+            rest(&state, topic, known.failures).await;
             continue;
         }
         known.failures = 0;
         match topic {
-            Topic::Targets if !more => pause(&state, bounds.drain.mul_f64(OFTEN_PART)).await,
+            Topic::Targets if pauses => pause(&state).await,
             Topic::Routers => sleep(ROUTERS_PAUSE).await,
             Topic::Operators | Topic::Targets => {}
         }
@@ -113,25 +119,52 @@
 }
 
 fn retry_pause(state: &State, failures: u32) -> Duration {
-    if state.served().is_none() {
-        return START_PAUSE;
+    let (first, longest) = match state.served() {
+        Some(_) => (RETRY_PAUSE, MAX_RETRY_PAUSE),
+        None => (START_PAUSE, MAX_START_PAUSE),
+    };
+    let pause = first.saturating_mul(1 << failures.saturating_sub(1).min(8));
+    pause.min(longest).mul_f64(1.0 - RETRY_SPREAD * rand::random::<f64>())
+}
+
+/// Waits after a failed call until the platform is to be asked again.
+async fn rest(state: &State, topic: Topic, failures: u32) {
+    let pause = retry_pause(state, failures);
+    let mut answers = state.answers();
+    if topic == Topic::Operators || *answers.borrow() {
+        return sleep(pause).await;
+    }
+    tokio::select! {
+        () = sleep(SILENT_PAUSE) => {}
+        // The sender lives as long as the state.
+        _ = answers.wait_for(|answers| *answers) => {}
+    }
+}
+
+/// Returns when another router knows more of what the operators have written than the platform tells.
+async fn behind(state: &State) {
+    loop {
+        state.behind().await;
+        sleep(BEHIND_PAUSE).await;
+        if state.is_behind() {
+            return;
+        }
     }
-    let pause = RETRY_PAUSE.saturating_mul(1 << failures.saturating_sub(1).min(8));
-    pause.min(MAX_RETRY_PAUSE).mul_f64(1.0 - RETRY_SPREAD * rand::random::<f64>())
 }
 
-/// Waits until the platform is to be asked for changes of the targets again: soon if this router asks
-/// often or changes that another one told of did not arrive, else seldom.
-async fn pause(state: &State, often: Duration) {
+/// Waits until the platform is to be asked for changes of the targets again.
+async fn pause(state: &State) {
     let begun = state.clock.now();
+    let often = state.fleet().pauses().often;
     sleep(often).await;
     loop {
-        let waited = state.clock.now().saturating_duration_since(begun);
-        let misses = state.fleet().peers().miss_changes(state.clock.now(), often);
-        if misses || asks_often(state) || waited >= SELDOM_PAUSE {
-            return;
+        let now = state.clock.now();
+        let waited = now.saturating_duration_since(begun);
+        let next = state.fleet().follow(now, waited);
+        match next {
+            Next::Ask => return,
+            Next::Wait => sleep(LOOK_PERIOD).await,
         }
-        sleep(LOOK_PERIOD).await;
     }
 }
 
@@ -155,7 +188,7 @@
     let changes = feed.changes(topic, since, wait, PATIENCE);
     let changes = tokio::select! {
         changes = changes => changes,
-        () = state.behind(), if topic == Topic::Operators && !hurried => {
+        () = behind(state), if topic == Topic::Operators && !hurried => {
             known.hurried = true;
             return None;
         }
@@ -164,20 +197,24 @@
 }
 
 fn asks_often(state: &State) -> bool {
-    lookout::asks_often(state.clock.now(), state.address, state.fleet().peers())
+    state.fleet().asks_often(state.clock.now())
 }
 
 fn wait(state: &State, topic: Topic, bounds: &Bounds) -> Duration {
-    let short = bounds.config.mul_f64(WAIT_PART);
+    let often = asks_often(state);
     match topic {
-        Topic::Operators if asks_often(state) => short,
-        Topic::Targets => short,
+        Topic::Operators if often => bounds.config.mul_f64(WAIT_PART),
+        Topic::Targets if often => state.fleet().pauses().wait,
+        Topic::Targets => Duration::ZERO,
         Topic::Operators | Topic::Routers => LONG_WAIT,
     }
 }
 
 fn note(state: &State, topic: Topic, known: &mut Known, error: Option<&Error>) {
     let reachable = error.is_none();
+    if topic == Topic::Operators {
+        state.answered(reachable);
+    }
     if known.reachable == Some(reachable) {
         return;
     }
@@ -200,13 +237,7 @@
 
 fn take(state: &State, topic: Topic, page: Page, whole: bool, closed: &mut BTreeSet<String>) {
     let now = state.clock.now();
-    if topic == Topic::Targets {
-        let mut fleet = state.fleet();
-        fleet.lookout().listed(now);
-        if !page.more {
-            fleet.peers().caught_up();
-        }
-    }
+    let caught_up = (topic == Topic::Targets && !page.more).then_some(page.revision);
     if whole && topic == Topic::Targets {
         let name = |entry: &Entry| match &entry.fact {
             Fact::Target(name, _) => Some(name.clone()),
@@ -231,18 +262,8 @@
             Fact::Opened(data_centre) => {
                 closed.remove(&data_centre);
             }
-            Fact::Target(name, row) => {
-                let mut fleet = state.fleet();
-                if fleet.list(now, &name, row.clone(), entry.revision) {
-                    fleet.lookout().changed(now, &name, entry.revision, Some(row));
-                }
-            }
-            Fact::Gone(name) => {
-                let mut fleet = state.fleet();
-                if fleet.unlist(now, &name, entry.revision) {
-                    fleet.lookout().changed(now, &name, entry.revision, None);
-                }
-            }
+            Fact::Target(name, row) => state.fleet().heard(now, &name, Some(row), entry.revision),
+            Fact::Gone(name) => state.fleet().heard(now, &name, None, entry.revision),
             Fact::Unreadable { key, problem } => log!(Code::ConfigRejected, key, problem),
             Fact::Router(name, address) if name != state.name => {
                 state.fleet().meet(now, address);
@@ -253,6 +274,12 @@
     if topic == Topic::Operators {
         state.fleet().close(closed.clone());
     }
+    if let Some(revision) = caught_up {
+        state.fleet().caught_up(now, revision);
+    }
+    if state.fleet().lookout().hurries() {
+        state.hurry();
+    }
     if all_targets {
         state.listed();
     }
--- a/crates/cornelpass-router/src/gateway/homes.rs
+++ b/crates/cornelpass-router/src/gateway/homes.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cornelpass_core::fleet::lookout;
 use cornelpass_core::report::Read;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
@@ -46,7 +45,7 @@
         let reads = {
             let mut fleet = state.fleet();
             let heard = fleet.lookout().age_ms(now) < HEARD_MS;
-            let writes = heard && lookout::writes_notes(now, state.address, fleet.peers());
+            let writes = heard && fleet.writes_notes(now);
             writes.then(|| fleet.parts().list(LIST_LIMIT))
         };
         let Some(reads) = reads.filter(|reads| *reads != written) else { continue };
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -15,7 +15,7 @@
 use cornelpass_caller::tracked::Upload;
 use cornelpass_core::datagram::Datagram;
 use cornelpass_core::peers::News;
-use cornelpass_core::report::{self, Report};
+use cornelpass_core::report::Report;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use cornelpass_target::connection::host;
@@ -55,7 +55,11 @@
         for address in state.fleet().peers().lost(state.clock.now()) {
             log!(Code::PeerLost, router = %address);
         }
-        sleep(report::period(length, others.len())).await;
+        let period = state.fleet().report_pause(length, others.len());
+        tokio::select! {
+            () = sleep(period) => {}
+            () = state.urgent() => {}
+        }
     }
 }
 
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -58,6 +58,10 @@
     behind: Notify,
     /// The same, which the other router is asked for if the platform does not answer.
     lagging: Notify,
+    /// Something is to be told to the other routers at once.
+    urgent: Notify,
+    /// Whether the platform answers the topic that is asked for all.
+    answers: watch::Sender<bool>,
     draining: AtomicBool,
     open: AtomicUsize,
 }
@@ -102,6 +106,7 @@
             load_multiple: bounds.load_multiple,
             cold_over: bounds.cold_over,
             cold_slack: bounds.cold_slack,
+            drain: bounds.drain,
             ..fleet::Bounds::default()
         };
         let incarnation = rand::random();
@@ -126,6 +131,8 @@
             told_orders: AtomicU64::new(0),
             behind: Notify::new(),
             lagging: Notify::new(),
+            urgent: Notify::new(),
+            answers: watch::Sender::new(true),
             draining: AtomicBool::new(false),
             open: AtomicUsize::new(0),
         }
@@ -215,6 +222,27 @@
         self.lagging.notified().await;
     }
 
+    /// Whether the platform answers the topic that is asked for all.
+    #[must_use]
+    pub fn answers(&self) -> watch::Receiver<bool> {
+        self.answers.subscribe()
+    }
+
+    /// The platform answers the topic that is asked for all, or does not.
+    pub fn answered(&self, answers: bool) {
+        self.answers.send_replace(answers);
+    }
+
+    /// Something is to be told to the other routers at once.
+    pub fn hurry(&self) {
+        self.urgent.notify_one();
+    }
+
+    /// Returns when something is to be told to the other routers at once.
+    pub async fn urgent(&self) {
+        self.urgent.notified().await;
+    }
+
     /// Returns when another router knows more of what the operators have written.
     pub async fn behind(&self) {
         self.behind.notified().await;
@@ -275,6 +303,7 @@
             listed_ms: fleet.lookout().age_ms(now),
             changed: fleet.lookout().count(),
             changes: fleet.lookout().news(now),
+            span: fleet.lookout().span(),
             departures: fleet.departures(now),
         }
     }
