feat(core): let successors of those that ask often take over in turn, and report as bytes allow

Cause: at 300 routers a report every two seconds to all others is 150 reports a second to take, which the smallest instances (a tenth of a core) do not keep up with; late reports made all routers take themselves for those that ask often, each of which then reported every 0.6 s.

Change: reports to all others keep to 4 KB/s up to a period of eight seconds; only who asks often now reports within 0.15 of the drain time. Where these are lost, a router gives way for 40 ms to each one before it that is heard, and tells at once that it has begun. What a silent router told last counts by its age, so that all do not take over when it is declared lost.

--- a/crates/cornelpass-core/src/fleet/lookout.rs
+++ b/crates/cornelpass-core/src/fleet/lookout.rs
@@ -39,6 +39,13 @@
 /// The same for the wait of a call of a router that others rely on, if nothing has changed.
 const WAIT_PART: f64 = 0.2;
 
+/// Time for which a router gives way to each one before it where nobody asks often any more: a call and a
+/// datagram.
+const RANK_PAUSE: Duration = Duration::from_millis(40);
+
+/// Most of that time, as a part of the time in which a leaving target has to see its last request.
+const RANK_PART: f64 = 0.1;
+
 /// Shortest pause between two calls for changes where other routers tell of them.
 const SELDOM_PAUSE: Duration = Duration::from_secs(10);
 
@@ -56,6 +63,8 @@
 pub struct Lookout {
     listed: Option<Instant>,
     span: Option<Span>,
+    /// Whether this router has begun to ask often, and nobody knows yet.
+    begins: bool,
     changes: VecDeque<Told>,
     /// Changes so far.
     count: u32,
@@ -81,6 +90,7 @@
     ///
     /// `often` says whether this router asks often, so that others rely on what it numbers.
     pub const fn listed(&mut self, now: Instant, revision: u64, often: bool) {
+        self.begins |= often && self.span.is_none() && self.listed.is_some();
         self.listed = Some(now);
         self.span = match self.span {
             Some(Span { from, .. }) if often => Some(Span { from, to: revision }),
@@ -119,6 +129,7 @@
 
     /// Changes for the next report: those told least often, first those that take a target out of use.
     pub fn news(&mut self, now: Instant) -> Vec<Change> {
+        self.begins = false;
         self.changes.retain(|told| now.saturating_duration_since(told.at) <= TELL_PERIOD);
         let mut order: Vec<&mut Told> = self.changes.iter_mut().collect();
         order.sort_by_key(|told| (told.times, Reverse(told.is_urgent())));
@@ -135,10 +146,10 @@
         order.map(tell).collect()
     }
 
-    /// Whether a change that takes a target out of use is to be told at once.
+    /// Whether something is to be told at once: that a target leaves, or that this router asks often.
     #[must_use]
     pub fn hurries(&self) -> bool {
-        self.changes.iter().any(|told| told.is_urgent() && told.times < URGENT_TIMES)
+        self.begins || self.changes.iter().any(|told| told.is_urgent() && told.times < URGENT_TIMES)
     }
 
     /// Age of what the platform told, in milliseconds.
@@ -202,10 +213,21 @@
 
     /// Routers that ask often and come before this one.
     fn before(&self, now: Instant) -> usize {
-        let fresh = self.pauses().fresh;
+        let fresh = self.patience(now);
         self.peers.own().map_or(0, |own| before(now, own, &self.peers, fresh))
     }
 
+    /// Age of what others tell up to which this router relies on them.
+    ///
+    /// Where those that ask often are lost, the first ones by address take their place before the others
+    /// miss them, which would all ask at once.
+    fn patience(&self, now: Instant) -> Duration {
+        let rank = self.peers.own().map_or(0, |own| self.peers.rank(now, own));
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        let most = self.bounds.drain.mul_f64(RANK_PART);
+        self.pauses().fresh + RANK_PAUSE.saturating_mul(rank).min(most)
+    }
+
     /// Pauses between two calls for changes of targets.
     #[must_use]
     pub fn pauses(&self) -> Pauses {
@@ -214,14 +236,14 @@
 
     /// Time until the next report, after one of a length in bytes to a number of other routers.
     #[must_use]
-    pub fn report_pause(&self, length: usize, others: usize) -> Duration {
+    pub fn report_pause(&self, now: Instant, length: usize, others: usize) -> Duration {
         let period = report::period(length, others);
         if self.lookout.hurries() {
             return report::MIN_PERIOD;
         }
-        match self.lookout.span {
-            Some(_) => period.min(self.bounds.drain.mul_f64(REPORT_PART)),
-            None => period,
+        match self.lookout.span.is_some() && self.asks_often(now) {
+            true => period.min(self.bounds.drain.mul_f64(REPORT_PART)),
+            false => period,
         }
     }
 
@@ -229,8 +251,8 @@
     #[must_use]
     pub fn follow(&self, now: Instant, waited: Duration) -> Next {
         let pauses = self.pauses();
-        let misses =
-            self.peers.miss_changes(now, pauses.often) || self.peers.is_behind(now, pauses.fresh);
+        let misses = self.peers.miss_changes(now, pauses.often)
+            || self.peers.is_behind(now, self.patience(now));
         let due = misses || self.asks_often(now) || waited >= pauses.seldom;
         if waited >= pauses.often && due { Next::Ask } else { Next::Wait }
     }
@@ -266,7 +288,7 @@
 
 /// Routers that ask often and come before an address.
 fn before(now: Instant, own: SocketAddr, peers: &Peers, fresh: Duration) -> usize {
-    let often = peers.told(now).filter(|(address, age, report)| {
+    let often = peers.last(now).filter(|(address, age, report)| {
         let age = *age + Duration::from_millis(u64::from(report.listed_ms));
         *address < own && report.span.is_some() && age <= fresh && !report.leaving
     });
--- a/crates/cornelpass-core/src/peers.rs
+++ b/crates/cornelpass-core/src/peers.rs
@@ -28,6 +28,8 @@
     /// When it was last heard of, by a report or by the platform's list.
     known: Instant,
     heard: Option<Instant>,
+    /// When it last told something, also if it is silent since.
+    reported: Option<Instant>,
     period: Duration,
     report: Report,
     changes: Changes,
@@ -123,7 +125,8 @@
         }
         let (period, report) = (report::MIN_PERIOD, Report::default());
         let changes = Changes::default();
-        let fresh = Peer { known: now, heard: None, period, report, changes };
+        let (heard, reported) = (None, None);
+        let fresh = Peer { known: now, heard, reported, period, report, changes };
         self.peers.entry(address).or_insert(fresh).known = now;
     }
 
@@ -136,7 +139,8 @@
             let period = report::MIN_PERIOD;
             let mut changes = Changes::first(&report);
             changes.take(now, &report);
-            let peer = Peer { known: now, heard: Some(now), period, report, changes };
+            let (heard, reported) = (Some(now), Some(now));
+            let peer = Peer { known: now, heard, reported, period, report, changes };
             self.peers.insert(address, peer);
             self.cover(now, address);
             return News::Joined;
@@ -158,7 +162,8 @@
             peer.changes = Changes::first(&report);
         }
         peer.changes.take(now, &report);
-        (peer.known, peer.heard, peer.report) = (now, Some(now), report);
+        (peer.known, peer.heard, peer.reported) = (now, Some(now), Some(now));
+        peer.report = report;
         self.cover(now, address);
         news
     }
@@ -224,6 +229,12 @@
         self.peers.keys().copied()
     }
 
+    /// Routers that are heard and come before an address.
+    #[must_use]
+    pub fn rank(&self, now: Instant, own: SocketAddr) -> usize {
+        self.peers.range(..own).filter(|(_, peer)| peer.is_live(now)).count()
+    }
+
     /// Routers that share budgets and rates, this one included.
     #[must_use]
     pub fn members(&self, now: Instant) -> usize {
@@ -244,6 +255,14 @@
         })
     }
 
+    /// What the others last told, with its age and its sender, also of those that are silent since.
+    pub fn last(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, Duration, &Report)> {
+        self.peers.iter().filter_map(move |(address, peer)| {
+            let age = now.saturating_duration_since(peer.reported?);
+            Some((*address, age, &peer.report))
+        })
+    }
+
     /// Mean age of what the others last told.
     #[must_use]
     pub fn age(&self, now: Instant) -> Duration {
--- a/crates/cornelpass-core/src/report.rs
+++ b/crates/cornelpass-core/src/report.rs
@@ -17,8 +17,9 @@
 /// Shortest time between two reports.
 pub const MIN_PERIOD: Duration = Duration::from_millis(100);
 
-/// Longest time between two reports.
-pub const MAX_PERIOD: Duration = Duration::from_secs(2);
+/// Longest time between two reports; what has to be known sooner comes from the few that ask often, and
+/// from accountants.
+pub const MAX_PERIOD: Duration = Duration::from_secs(8);
 
 /// Bytes of the headers of a datagram.
 const HEADER_BYTES: usize = 28;
--- a/crates/cornelpass-core/tests/pattern_leaving_known.rs
+++ b/crates/cornelpass-core/tests/pattern_leaving_known.rs
@@ -137,7 +137,7 @@
         };
         let others = self.trouble.routers - 1;
         let length = REPORT_BYTES + CHANGE_BYTES * report.changes.len();
-        let period = router.fleet.report_pause(length, others);
+        let period = router.fleet.report_pause(now, length, others);
         router.told = Some((now, period));
         let from = router.address;
         for receiver in &mut self.routers {
--- a/crates/cornelpass-core/tests/peers.rs
+++ b/crates/cornelpass-core/tests/peers.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::routers::row;
-use cornelpass_core::fleet::lookout::{self, LOOKOUTS, Lookout, Pauses};
+use cornelpass_core::fleet::lookout::{self, LOOKOUTS, Lookout, Next, Pauses};
 use cornelpass_core::fleet::{Bounds, Fleet, Row};
 use cornelpass_core::peers::{FORGET_TIMEOUT, MEMBER_TIMEOUT, News, Peers};
 use cornelpass_core::report::{self, CHANGES_LENGTH, Change, Entry, Report, Span};
@@ -265,6 +265,51 @@
     assert!(!lookout.hurries());
 }
 
+#[test]
+fn routers_take_the_place_of_lost_ones_in_turn() {
+    let start = Instant::now();
+    let mut now = start;
+    let fresh = Pauses::new(Bounds::default().drain, 1).fresh;
+    let mut fleets: Vec<Fleet> =
+        (1..30).map(|host| Fleet::new(Bounds::default()).at(address(host), 1)).collect();
+    for (own, fleet) in (1..).zip(&mut fleets) {
+        fleet.caught_up(now, 1);
+        for host in (1..30).filter(|host| *host != own) {
+            let span = (host < 3).then_some(Span { from: 1, to: 1 });
+            fleet.told(now, address(host), Report { span, ..report(1, 1) });
+        }
+    }
+    // The first two are silent from now on; the others tell something, but ask seldom.
+    let asking = |fleets: &[Fleet], now: Instant| {
+        let asks = |fleet: &&Fleet| fleet.follow(now, now - start) == Next::Ask;
+        fleets[2..].iter().filter(asks).count()
+    };
+    assert_eq!(asking(&fleets, now), 0);
+    now += fresh + Duration::from_millis(100);
+    for (own, fleet) in (1..).zip(&mut fleets) {
+        for host in (3..30).filter(|host| *host != own) {
+            fleet.told(now, address(host), report(1, 2));
+        }
+    }
+    let first = asking(&fleets, now);
+    assert!((1..=4).contains(&first), "{first} routers ask at once");
+    now += Duration::from_millis(300);
+    assert_eq!(asking(&fleets, now), 27, "nobody has told them that it asks");
+}
+
+#[test]
+fn who_asks_often_reports_in_time_for_the_others_whatever_their_number() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(Bounds::default()).at(address(1), 1);
+    let others = 299;
+    assert_eq!(fleet.report_pause(now, 100, others), report::MAX_PERIOD);
+    fleet.caught_up(now, 1);
+    let often = fleet.report_pause(now, 100, others);
+    assert!(often <= Bounds::default().drain.mul_f64(0.15), "{often:?}");
+    fleet.told(now, address(0), Report { span: Some(Span { from: 1, to: 1 }), ..report(1, 1) });
+    assert_eq!(fleet.report_pause(now, 100, others), often, "one before it is not enough");
+}
+
 #[test]
 fn few_bytes_are_read_where_others_tell_of_changes() {
     let drain = Duration::from_secs(3);
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -55,7 +55,7 @@
         for address in state.fleet().peers().lost(state.clock.now()) {
             log!(Code::PeerLost, router = %address);
         }
-        let period = state.fleet().report_pause(length, others.len());
+        let period = state.fleet().report_pause(state.clock.now(), length, others.len());
         tokio::select! {
             () = sleep(period) => {}
             () = state.urgent() => {}
