fix(core): keep lapsed entries also where another router hears the platform a moment earlier

After the platform was away for all, entries that lapsed are to be used for two seconds; a router took itself for the only one that had been cut off when another one had heard the platform again some milliseconds before, and dropped them at once. It is likelier since routers that ask often report at once.

Change: others count as told only if the platform has told them for longer than it takes all routers to hear it again.

Test: pattern_store_away (fails before), peers.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -177,6 +177,31 @@
     pub load: u32,
 }
 
+/// What the list says of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Listing {
+    /// It takes work.
+    Ready,
+    /// It is about to stop.
+    Leaving,
+    /// It has no entry.
+    Missing,
+}
+
+/// A target of which the list says something else than before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Relisted {
+    /// Its name.
+    pub target: String,
+    /// What the list says.
+    pub listing: Listing,
+    /// Revision of the entry.
+    pub revision: u64,
+    /// The router that told it; none if the platform did.
+    pub told_by: Option<SocketAddr>,
+}
+
 /// A target that gives no sign while requests wait there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Quiet {
@@ -208,6 +233,8 @@
     departures: VecDeque<(Instant, Departure)>,
     /// Those of them of which another router told, until they are taken.
     departed: Vec<String>,
+    /// What the list says newly of targets, until it is taken.
+    relisted: Vec<Relisted>,
     closed: BTreeSet<String>,
     cold_rates: BTreeMap<String, f64>,
     loads: Loads,
@@ -326,9 +353,7 @@
     /// If it told other routers of the targets meanwhile, it was not away itself, and no entries
     /// have lapsed.
     pub fn returned(&mut self, now: Instant, away: Duration) {
-        let told_others = self.peers.told(now).any(|(_, age, report)| {
-            age + Duration::from_millis(u64::from(report.listed_ms)) < away
-        });
+        let told_others = self.peers.was_told(now, away);
         if !told_others {
             self.returned = Some(now);
         }
@@ -371,6 +396,7 @@
             };
             if new {
                 self.second_hand.insert(change.name.clone());
+                self.relist(&change.name, Some(router));
             }
         }
         let Report { incarnation, leaving, .. } = report;
@@ -417,6 +443,23 @@
         latest.map(|(_, departure)| *departure).collect()
     }
 
+    /// Takes what the list says newly of targets, since the last call.
+    pub fn take_relisted(&mut self) -> Vec<Relisted> {
+        std::mem::take(&mut self.relisted)
+    }
+
+    /// Keeps what the list says of a target until it is taken.
+    fn relist(&mut self, name: &str, told_by: Option<SocketAddr>) {
+        let Some(record) = self.records.get(name) else { return };
+        let listing = match (record.missing, record.row.state) {
+            (Some(_), _) => Listing::Missing,
+            (None, State::Ready) => Listing::Ready,
+            (None, State::Leaving) => Listing::Leaving,
+        };
+        let (target, revision) = (name.to_owned(), record.revision);
+        self.relisted.push(Relisted { target, listing, revision, told_by });
+    }
+
     /// Takes the targets that leave by the word of other routers, since the last call.
     pub fn take_departed(&mut self) -> Vec<String> {
         std::mem::take(&mut self.departed)
--- a/crates/cornelpass-core/src/fleet/lookout.rs
+++ b/crates/cornelpass-core/src/fleet/lookout.rs
@@ -263,6 +263,10 @@
             Some(row) => self.list(now, name, row.clone(), revision),
             None => self.unlist(now, name, revision),
         };
+        // The first list would fill the log at each start.
+        if new && self.lookout.listed.is_some() {
+            self.relist(name, None);
+        }
         // What another router told first has no number here yet.
         let second_hand = self.second_hand.remove(name);
         if new || (second_hand && self.lookout.span.is_some()) {
--- a/crates/cornelpass-core/src/peers.rs
+++ b/crates/cornelpass-core/src/peers.rs
@@ -22,6 +22,13 @@
 /// Time for which a router that tells nothing is still told, and may come back.
 pub const FORGET_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Longest pause between two answers of the platform to others over which it counts as there.
+const CONTACT_GAP: Duration = Duration::from_secs(3);
+
+/// Time in which routers that the platform did not answer all hear it again: their longest pause between
+/// two calls, and an answer.
+const RETURN_SPREAD: Duration = Duration::from_millis(2_500);
+
 /// What is known of another router.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -97,6 +104,8 @@
     covered: u64,
     /// When the platform told somebody of the last of them.
     covered_at: Option<Instant>,
+    /// Between when the platform has told others without a long pause, as far as they said.
+    contact: Option<(Instant, Instant)>,
 }
 
 impl Peers {
@@ -142,6 +151,7 @@
             let (heard, reported) = (Some(now), Some(now));
             let peer = Peer { known: now, heard, reported, period, report, changes };
             self.peers.insert(address, peer);
+            self.contact(now, address);
             self.cover(now, address);
             return News::Joined;
         };
@@ -164,10 +174,37 @@
         peer.changes.take(now, &report);
         (peer.known, peer.heard, peer.reported) = (now, Some(now), Some(now));
         peer.report = report;
+        self.contact(now, address);
         self.cover(now, address);
         news
     }
 
+    /// Takes when the platform told a router.
+    fn contact(&mut self, now: Instant, address: SocketAddr) {
+        let Some(peer) = self.peers.get(&address) else { return };
+        let listed_ms = peer.report.listed_ms;
+        let age = Duration::from_millis(u64::from(listed_ms));
+        let Some(at) = now.checked_sub(age).filter(|_| listed_ms < report::MAX_AGE_MS) else {
+            return;
+        };
+        self.contact = match self.contact {
+            Some((since, last)) if at.saturating_duration_since(last) <= CONTACT_GAP => {
+                Some((since, last.max(at)))
+            }
+            _ => Some((at, at)),
+        };
+    }
+
+    /// Whether the platform told others in a time up to now, other than at its end: where all hear it again
+    /// at once, some do a moment before others.
+    #[must_use]
+    pub fn was_told(&self, now: Instant, time: Duration) -> bool {
+        self.contact.is_some_and(|(since, last)| {
+            let ago = |at: Instant| now.saturating_duration_since(at);
+            ago(last) < time && ago(since) > RETURN_SPREAD
+        })
+    }
+
     /// Takes the revisions between which a router has numbered changes, if all of these have arrived.
     fn cover(&mut self, now: Instant, address: SocketAddr) {
         let Some(peer) = self.peers.get(&address) else { return };
--- a/crates/cornelpass-core/tests/pattern_store_away.rs
+++ b/crates/cornelpass-core/tests/pattern_store_away.rs
@@ -17,9 +17,13 @@
     fleet.advance(AWAY);
     let now = fleet.now;
     let router = &mut fleet.fleets[0];
-    if told_others {
-        let report = Report { incarnation: 9, sequence: 1, listed_ms: 300, ..Report::default() };
-        router.told(now, address(9), report);
+    // Where others were told as well, one of them heard the platform a moment before this router did.
+    for (sequence, ago_ms) in [(1, 4_000), (2, 2_700), (3, 1_300), (4, 100)] {
+        if told_others || ago_ms == 100 {
+            let at = now - Duration::from_millis(ago_ms);
+            let report = Report { incarnation: 9, sequence, listed_ms: 50, ..Report::default() };
+            router.told(at, address(9), report);
+        }
     }
     router.returned(now, AWAY);
     router.retain(now, &[].into(), 100);
--- a/crates/cornelpass-core/tests/peers.rs
+++ b/crates/cornelpass-core/tests/peers.rs
@@ -7,7 +7,7 @@
 
 use common::routers::row;
 use cornelpass_core::fleet::lookout::{self, LOOKOUTS, Lookout, Next, Pauses};
-use cornelpass_core::fleet::{Bounds, Fleet, Row};
+use cornelpass_core::fleet::{Bounds, Fleet, Listing, Relisted, Row};
 use cornelpass_core::peers::{FORGET_TIMEOUT, MEMBER_TIMEOUT, News, Peers};
 use cornelpass_core::report::{self, CHANGES_LENGTH, Change, Entry, Report, Span};
 
@@ -212,8 +212,23 @@
     }
     fleet.caught_up(now, 1);
     assert_eq!(fleet.lookout().count(), 0);
+    assert_eq!(fleet.take_relisted(), []);
     fleet.retain(now, &["t-1".to_owned(), "t-2".to_owned()].into(), 5);
     assert_eq!(fleet.lookout().news(now)[0].name, "t-3");
+    let missing = |target: &str, revision, told_by| Relisted {
+        target: target.to_owned(),
+        listing: Listing::Missing,
+        revision,
+        told_by,
+    };
+    assert_eq!(fleet.take_relisted(), [missing("t-3", 5, None)]);
+    let change = Change { number: 1, name: "t-2".to_owned(), revision: 6, entry: Entry::Removed };
+    fleet.told(now, address(2), Report { changed: 1, changes: vec![change], ..report(7, 1) });
+    assert_eq!(
+        fleet.take_relisted(),
+        [missing("t-2", 6, Some(address(2)))],
+        "also where another router tells it"
+    );
 }
 
 #[test]
--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -100,6 +100,8 @@
     TargetLeaves = 505,
     /// A target has turned a request away and named a time for which it wants nothing.
     TargetRests = 506,
+    /// The list says something else of a target.
+    TargetListed = 507,
     /// The outcome of a call could not be recorded yet.
     ClaimPending = 600,
     /// A call's outcome is unknown.
--- a/crates/cornelpass-router/src/gateway/follow.rs
+++ b/crates/cornelpass-router/src/gateway/follow.rs
@@ -274,6 +274,7 @@
     if topic == Topic::Operators {
         state.fleet().close(closed.clone());
     }
+    state.log_relisted();
     if let Some(revision) = caught_up {
         state.fleet().caught_up(now, revision);
     }
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -105,6 +105,7 @@
         let mut fleet = state.fleet();
         (fleet.told(now, address, report), fleet.take_departed())
     };
+    state.log_relisted();
     for target in departed {
         log!(Code::TargetLeaves, target, told_by = %address);
     }
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -7,7 +7,7 @@
 
 use cornelpass_core::budget::{Budgets, Terms};
 use cornelpass_core::clock::Clock;
-use cornelpass_core::fleet::{self, Fleet};
+use cornelpass_core::fleet::{self, Fleet, Relisted};
 use cornelpass_core::plan::Plan;
 use cornelpass_core::report::{self, Report};
 use cornelpass_operator::event::Code;
@@ -253,6 +253,15 @@
         lock(&self.fleet)
     }
 
+    /// Logs what the list says newly of targets.
+    pub fn log_relisted(&self) {
+        let relisted = self.fleet().take_relisted();
+        for Relisted { target, listing, revision, told_by } in relisted {
+            let told_by = told_by.map_or("platform".to_owned(), |router| router.to_string());
+            log!(Code::TargetListed, target, %listing, revision, told_by);
+        }
+    }
+
     /// Ages of the list of targets and, on average, of the other routers' reports, in milliseconds.
     #[must_use]
     pub fn ages_ms(&self) -> (u16, u64) {
