feat(router): log which data centres the operators take out

Change: event 207 with the data centres that are out.

Test: platform/gateway, core/pattern_release.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -360,8 +360,12 @@
     }
 
     /// Takes the data centres that operators have taken out.
-    pub fn close(&mut self, closed: BTreeSet<String>) {
+    ///
+    /// Returns whether these are others than before.
+    pub fn close(&mut self, closed: BTreeSet<String>) -> bool {
+        let changed = self.closed != closed;
         self.closed = closed;
+        changed
     }
 
     /// Work of this router in progress, by target.
--- a/crates/cornelpass-core/tests/pattern_release.rs
+++ b/crates/cornelpass-core/tests/pattern_release.rs
@@ -71,7 +71,8 @@
     let now = fleet.now;
     let router = &mut fleet.fleets[0];
     router.list(now, &name(0), common::routers::leaving(row(0, "a")), 100);
-    router.close(["b".to_owned()].into());
+    assert!(router.close(["b".to_owned()].into()));
+    assert!(!router.close(["b".to_owned()].into()), "the same as before");
     let choices = round(&mut fleet, 0..20);
     assert!(choices.iter().all(|choice| choice.target == name(2)), "{choices:?}");
     assert_eq!(row(0, "a").state, State::Ready);
--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -52,6 +52,8 @@
     HomesRecalled = 205,
     /// A note on the platform can not be read.
     NoteUnreadable = 206,
+    /// The operators take other data centres out of service than before.
+    DataCentresOut = 207,
     /// A connection to a target's process is open.
     LinkOpened = 300,
     /// A connection to a target's process was lost or is silent.
--- a/crates/cornelpass-router/src/gateway/follow.rs
+++ b/crates/cornelpass-router/src/gateway/follow.rs
@@ -272,7 +272,7 @@
         }
     }
     if topic == Topic::Operators {
-        state.fleet().close(closed.clone());
+        state.close(closed.clone());
     }
     state.log_relisted();
     if let Some(revision) = caught_up {
--- a/crates/cornelpass-router/src/gateway/known.rs
+++ b/crates/cornelpass-router/src/gateway/known.rs
@@ -57,9 +57,9 @@
             for address in self.routers {
                 fleet.meet(now, address);
             }
-            if self.orders > state.orders() {
-                fleet.close(self.closed);
-            }
+        }
+        if self.orders > state.orders() {
+            state.close(self.closed);
         }
         if listed {
             state.listed();
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! State of a gateway.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -253,6 +254,14 @@
         lock(&self.fleet)
     }
 
+    /// Takes the data centres that operators have taken out.
+    pub fn close(&self, closed: BTreeSet<String>) {
+        let out = closed.iter().map(String::as_str).collect::<Vec<_>>().join(",");
+        if self.fleet().close(closed) {
+            log!(Code::DataCentresOut, out);
+        }
+    }
+
     /// Logs what the list says newly of targets.
     pub fn log_relisted(&self) {
         let relisted = self.fleet().take_relisted();
