fix(core): learn the period of a router that tells seldom

Cause: the period of another router's reports was learnt only from reports that came within four of the periods known before, which begin at 100 ms.

Ruled out: loss of datagrams (the same at rest).

Change: the time between any two reports counts, up to the longest period.

--- a/crates/cornelpass-core/src/peers.rs
+++ b/crates/cornelpass-core/src/peers.rs
@@ -164,8 +164,9 @@
             Some(heard) if now.saturating_duration_since(heard) <= peer.lifetime() => News::Usual,
             _ => News::Returned,
         };
-        if let Some(heard) = peer.heard.filter(|_| news == News::Usual) {
-            let gap = now.saturating_duration_since(heard);
+        // Also after a silence that was taken for a loss: a router of a large fleet tells seldom.
+        if let Some(reported) = peer.reported.filter(|_| !restarted) {
+            let gap = now.saturating_duration_since(reported).min(report::MAX_PERIOD);
             peer.period = (peer.period * 3 + gap) / 4;
         }
         if restarted {
--- a/crates/cornelpass-core/tests/peers.rs
+++ b/crates/cornelpass-core/tests/peers.rs
@@ -49,6 +49,28 @@
     assert_eq!(peers.members(start + MEMBER_TIMEOUT), 2);
 }
 
+#[test]
+fn a_router_that_tells_seldom_is_not_lost_between_its_reports() {
+    for period in [Duration::from_millis(900), Duration::from_millis(2_400), report::MAX_PERIOD] {
+        let mut now = Instant::now();
+        let mut peers = Peers::new();
+        let mut lost = 0;
+        for sequence in 1..30 {
+            peers.take(now, address(1), report(1, sequence));
+            for _ in 0..10 {
+                now += period / 10;
+                lost += peers.lost(now).len();
+            }
+        }
+        assert!(lost <= 1, "lost {lost} times at {period:?}");
+        for _ in 0..10 {
+            now += period;
+            lost += peers.lost(now).len();
+        }
+        assert!(lost >= 1, "its silence goes unnoticed at {period:?}");
+    }
+}
+
 #[test]
 fn a_router_is_not_its_own_peer() {
     let now = Instant::now();
