feat(router): log the parts of the prompt with a failed attempt

Cause: the logs did not tell whether the requests at crashed targets had anything in common. Evidence: 403 names parts by the hash of the prefix that ends with them, 502 names none. Change: event 406 names each part by its own hash.

--- a/crates/cornelpass-core/src/request.rs
+++ b/crates/cornelpass-core/src/request.rs
@@ -121,6 +121,16 @@
         parts.collect::<Vec<_>>().join(",")
     }
 
+    /// Formats all parts for a log line, each as `hash:tokens`.
+    ///
+    /// `hash` is the upper 32 bits of the hash of the part itself, in hexadecimal digits, so that
+    /// the same part is recognised in different prompts.
+    #[must_use]
+    pub fn parts_summary(&self) -> String {
+        let parts = self.parts.iter().map(|part| format!("{:08x}:{}", part.id >> 32, part.tokens));
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     /// Total length of the shared parts, in tokens.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -292,7 +292,15 @@
             }
         }
         Outcome::Failed { reason, execution, reached_target } => {
-            log!(Code::AttemptFailed, id, target, reason = reason.name(), run = %execution);
+            let prompt = delivery.request.prompt.as_ref();
+            log!(
+                Code::AttemptFailed,
+                id,
+                target,
+                reason = reason.name(),
+                run = %execution,
+                own_parts = prompt.map_or_else(String::new, Prompt::parts_summary)
+            );
             progress.reason = reason;
             FailedAttempt { execution, reached_target, response_started, target_error: false }
         }
