fix(core): recognise requests that crash targets by what they have in common

Cause: a request that crashes targets was recognised by the digest of its whole content only, and no two of these requests are alike. A second fault of the same check: each request that failed at a crash counted the crash again for all others in progress there, so that one crash could block a sound content. Change: core::quarantine. A request has features, its content and the shared parts of its prompt. Routers exchange crashes and complete responses. Three crashes in a row that interrupted requests with a feature, each sent after the crash before, with no complete response between, quarantine it, together with the features that were in all of these crashes and in no complete response since; only requests with all of them are refused, with the time to come back. A crash is a connection that is refused right after a failed attempt, or after a response without a length, whose end does not show whether it is complete; the end of a target that leaves is none. Datagrams have a new kind, bulletin; routers of older releases log it as unreadable and ignore it.

--- a/crates/cornelpass-core/benches/fleet.rs
+++ b/crates/cornelpass-core/benches/fleet.rs
@@ -134,7 +134,7 @@
     let mut now = Instant::now();
     let mut fleet = fleet(now, routers, targets);
     for number in 0..REQUESTS_IN_PROGRESS.min(targets) {
-        fleet.record_sent(now, &name(number), 1);
+        fleet.record_sent(now, &name(number), &[]);
     }
     bencher.bench_local(|| {
         now += Duration::from_secs(1);
--- a/crates/cornelpass-core/src/datagram.rs
+++ b/crates/cornelpass-core/src/datagram.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::accounting::message::{Note, Presence, Question, Reply};
+use crate::quarantine::bulletin::Bulletin;
 use crate::report::Report;
 
 /// Content of one datagram.
@@ -24,4 +25,6 @@
     Probe,
     /// Reply to a probe.
     Presence(Presence),
+    /// Crashes of targets and quarantined requests.
+    Bulletin(Bulletin),
 }
--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -33,8 +33,9 @@
 use crate::accounting::accountant::Accountants;
 use crate::accounting::aggregator::Aggregator;
 use crate::accounting::message::Stamp;
-use crate::admission::suspect::Suspects;
 use crate::peers::{Effect, Peers};
+use crate::quarantine::Quarantine;
+use crate::quarantine::feature::Feature;
 use crate::report::{self, Departure, Entry, Report};
 use crate::request::RetrySafety;
 
@@ -142,6 +143,13 @@
         self.missing_since.is_none() && self.health.standing(now) == Standing::Good
     }
 
+    /// Whether the target is about to stop or has left, as far as this router knows.
+    const fn is_leaving(&self) -> bool {
+        self.missing_since.is_some()
+            || matches!(self.row.state, State::Leaving)
+            || self.availability.is_leaving()
+    }
+
     /// Whether a row states a later start time than the known row.
     fn is_later_start(&self, row: &Row) -> bool {
         self.row.started_ms.zip(row.started_ms).is_some_and(|(known, reported)| reported > known)
@@ -271,7 +279,7 @@
     change_log: ChangeLog,
     /// Targets whose last change came from another router before the platform sent it.
     peer_reported: BTreeSet<String>,
-    suspects: Suspects,
+    quarantine: Quarantine,
     /// When the platform became reachable again after an outage, if there was one.
     platform_back_since: Option<Instant>,
 }
@@ -427,21 +435,15 @@
         let effect = self.peers.apply_report(now, router, report);
         self.accountants.add(now, router);
         self.accountants.record_leaving(now, router, incarnation, leaving);
-        let contents: Vec<u64> = self
-            .peers
-            .live_reports(now)
-            .flat_map(|report| report.suspects.iter().copied())
-            .collect();
-        self.suspects.merge(now, &contents);
         effect
     }
 
-    /// Records a request that was sent to a target, with the digest of its content.
-    pub fn record_sent(&mut self, now: Instant, target: &str, content: u64) -> Ticket {
+    /// Records a request that was sent to a target, with its features.
+    pub fn record_sent(&mut self, now: Instant, target: &str, features: &[Feature]) -> Ticket {
         if let Some(record) = self.records.get_mut(target) {
             record.health.record_sent(now);
         }
-        self.loads.record_sent(now, target, content)
+        self.loads.record_sent(now, target, features)
     }
 
     /// Records any response or part of a response from a target, for a request.
@@ -551,20 +553,30 @@
         (before, record.health.standing(now))
     }
 
-    /// Contents suspected of crashing targets.
-    pub const fn suspects(&mut self) -> &mut Suspects {
-        &mut self.suspects
+    /// Requests that crash targets.
+    pub const fn quarantine(&mut self) -> &mut Quarantine {
+        &mut self.quarantine
     }
 
-    /// Records that a target became unreachable while it ran a request.
+    /// Records that a target crashed while it ran a request with these features, which was sent at
+    /// `sent_at`.
     ///
-    /// The contents of all requests in progress there, this request's own included, become
-    /// suspects. Returns these contents.
-    pub fn record_crash(&mut self, now: Instant, target: &str, content: u64) -> Vec<u64> {
-        let mut contents = self.loads.contents(target);
-        contents.push(content);
-        self.suspects.record_loss(now, &contents, None);
-        contents
+    /// The other requests in progress there become part of the evidence. The end of a target that
+    /// was about to stop is no crash. Returns whether the crash counts.
+    pub fn record_crash(
+        &mut self,
+        now: Instant,
+        target: &str,
+        features: &[Feature],
+        sent_at: Instant,
+    ) -> bool {
+        let Some(record) = self.records.get(target).filter(|record| !record.is_leaving()) else {
+            return false;
+        };
+        let own = features.iter().map(|feature| (*feature, sent_at));
+        let in_progress = self.loads.features(target).chain(own);
+        self.quarantine.record_crash(now, record.short_hash, in_progress);
+        true
     }
 
     /// Log of the target changes that the platform sent to this router.
--- a/crates/cornelpass-core/src/fleet/load.rs
+++ b/crates/cornelpass-core/src/fleet/load.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::quarantine::feature::Feature;
+
 /// Time without a response after which a request counts as stalled, if its target responded to
 /// other requests meanwhile.
 ///
@@ -26,10 +28,10 @@
 pub struct Ticket(u64);
 
 /// A request in progress.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct InFlight {
-    /// Digest of the content.
-    content: u64,
+    features: Box<[Feature]>,
+    sent_at: Instant,
     /// When the request was sent, or last got a part of its response.
     last_progress: Instant,
 }
@@ -76,13 +78,14 @@
 }
 
 impl Loads {
-    /// Records a request that was sent to a target, with the digest of its content.
-    pub fn record_sent(&mut self, now: Instant, target: &str, content: u64) -> Ticket {
+    /// Records a request that was sent to a target, with its features.
+    pub fn record_sent(&mut self, now: Instant, target: &str, features: &[Feature]) -> Ticket {
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
         let target = self.targets.entry(target.to_owned()).or_default();
         target.update_average(now);
-        target.requests.insert(ticket, InFlight { content, last_progress: now });
+        let request = InFlight { features: features.into(), sent_at: now, last_progress: now };
+        target.requests.insert(ticket, request);
         ticket
     }
 
@@ -115,12 +118,13 @@
         self.targets.get(target).map_or(0.0, |target| target.average(now))
     }
 
-    /// Digests of the contents in progress at a target, stalled requests included.
-    #[must_use]
-    pub fn contents(&self, target: &str) -> Vec<u64> {
+    /// Features of the requests in progress at a target, stalled ones included, each with the time
+    /// at which its request was sent.
+    pub fn features(&self, target: &str) -> impl Iterator<Item = (Feature, Instant)> {
         let requests =
             self.targets.get(target).into_iter().flat_map(|target| target.requests.values());
-        requests.map(|request| request.content).collect()
+        requests
+            .flat_map(|request| request.features.iter().map(|feature| (*feature, request.sent_at)))
     }
 
     /// Requests in progress at a target, without stalled ones.
--- a/crates/cornelpass-core/src/lib.rs
+++ b/crates/cornelpass-core/src/lib.rs
@@ -45,10 +45,11 @@
 //! - [`accounting`]: counts of the requests of all routers at a target;
 //! - [`peers`], [`report`] and [`datagram`]: reports and messages between routers;
 //! - [`history`] and [`budget`]: what follows a failed attempt;
+//! - [`quarantine`]: requests that crash targets;
 //! - [`events`]: complete events of the streams that targets send.
 //!
-//! Both interfaces use [`placement`], [`refusal`], [`digest`] and [`clock`], and the detection of
-//! contents that crash targets in [`admission::suspect`].
+//! Both interfaces use [`placement`], [`refusal`], [`digest`] and [`clock`]. The chat interface
+//! detects contents that crash targets in [`admission::suspect`].
 //!
 //! ```
 //! use cornelpass_core::placement::{Bounded, Candidate, Placement};
@@ -76,6 +77,7 @@
 pub mod lease;
 pub mod peers;
 pub mod placement;
+pub mod quarantine;
 pub mod refusal;
 pub mod report;
 pub mod request;
--- a/crates/cornelpass-core/src/report.rs
+++ b/crates/cornelpass-core/src/report.rs
@@ -147,7 +147,8 @@
     pub operator_revision: u64,
     /// Whether the router is about to stop.
     pub leaving: bool,
-    /// Digests of contents suspected of crashing targets, one element for each crash.
+    /// Empty. Routers of older releases list digests of contents that crash targets here, which are
+    /// ignored; see [`crate::quarantine`].
     #[serde(rename = "contents")]
     pub suspects: Vec<u64>,
     /// New cache entries of targets since the last report.
--- a/crates/cornelpass-core/src/request.rs
+++ b/crates/cornelpass-core/src/request.rs
@@ -8,12 +8,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::digest;
+use crate::quarantine::feature::Feature;
 
 /// Default priority of a request; 0 is the most urgent.
 ///
 /// Not used at present: each route sets a priority, which the organisation may override.
 pub const DEFAULT_PRIORITY: u8 = 5;
 
+/// Maximum number of parts of a prompt among the features of a request.
+const MAX_PART_FEATURES: usize = 32;
+
 /// What may be retried after an attempt that may have run.
 ///
 /// An attempt that certainly did not run may be retried regardless of this value.
@@ -187,6 +191,20 @@
         self.prompt.as_ref().map_or_else(|| digest::key(&self.id), Prompt::placement_key)
     }
 
+    /// Features by which the request is recognised if it crashes targets: its content, and the
+    /// shared parts of its prompt.
+    ///
+    /// The last part belongs to this request alone. Of a prompt with very many parts, only the last
+    /// ones count, because they are shared by the fewest requests.
+    #[must_use]
+    pub fn features(&self) -> Vec<Feature> {
+        let parts = self.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let recognised = &shared[shared.len().saturating_sub(MAX_PART_FEATURES)..];
+        let parts = recognised.iter().map(|part| Feature::Part(part.id));
+        std::iter::once(Feature::Content(self.digest)).chain(parts).collect()
+    }
+
     /// Time left until the deadline; zero after it.
     #[must_use]
     pub fn time_left(&self, now: Instant) -> Duration {
--- a/crates/cornelpass-core/tests/common/cluster.rs
+++ b/crates/cornelpass-core/tests/common/cluster.rs
@@ -299,7 +299,7 @@
         let now = self.now;
         let (choice, selection) = self.select_target(router, request, &empty_history(request))?;
         let fleet = &mut self.fleets[router];
-        let ticket = fleet.record_sent(now, &choice.target, 1);
+        let ticket = fleet.record_sent(now, &choice.target, &[]);
         if let Some(prompt) = &request.prompt {
             fleet.cache_index().record_prefill(now, &choice.target, prompt, choice.position);
         }
--- a/crates/cornelpass-core/tests/pattern_failing_targets.rs
+++ b/crates/cornelpass-core/tests/pattern_failing_targets.rs
@@ -23,7 +23,7 @@
 /// Sends a request to a target, and ends it immediately with an outcome.
 fn record_outcome(cluster: &mut Cluster, target: &str, outcome: Outcome) {
     let now = cluster.now;
-    let ticket = cluster.fleets[0].record_sent(now, target, 1);
+    let ticket = cluster.fleets[0].record_sent(now, target, &[]);
     cluster.fleets[0].record_end(now, target, ticket, Some(outcome));
 }
 
@@ -103,11 +103,11 @@
 fn requests_whose_responses_were_lost_do_not_count_as_load() {
     let mut loads = Loads::default();
     let start = Instant::now();
-    let lost = loads.record_sent(start, "t", 1);
-    let waiting = loads.record_sent(start, "u", 2);
+    let lost = loads.record_sent(start, "t", &[]);
+    let waiting = loads.record_sent(start, "u", &[]);
     let later = start + STALL_TIMEOUT + Duration::from_millis(1);
     assert_eq!(loads.load("t", later), 1, "the target has sent no response");
-    let other = loads.record_sent(later, "t", 3);
+    let other = loads.record_sent(later, "t", &[]);
     loads.record_response(later, "t", other);
     assert_eq!((loads.load("t", later), loads.load("u", later)), (1, 1));
     loads.record_response(later, "t", lost);
@@ -124,7 +124,7 @@
     let now = cluster.now;
     for router in [1, 2, 1] {
         for outcome in [Outcome::Answered, Outcome::Failed] {
-            let ticket = cluster.fleets[router].record_sent(now, &preferred, 1);
+            let ticket = cluster.fleets[router].record_sent(now, &preferred, &[]);
             cluster.record_end(router, &preferred, ticket, outcome);
         }
     }
--- a/crates/cornelpass-core/tests/pattern_paused_targets.rs
+++ b/crates/cornelpass-core/tests/pattern_paused_targets.rs
@@ -65,7 +65,7 @@
     let now = cluster.now;
     let router = &mut cluster.fleets[0];
     for number in 0..2 {
-        let ticket = router.record_sent(now, &target_name(number), 1);
+        let ticket = router.record_sent(now, &target_name(number), &[]);
         router.record_end(now, &target_name(number), ticket, Some(Outcome::Unreachable));
     }
     router.apply_notice(now, &target_name(0), pause_notice(Duration::from_secs(3)));
--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -97,7 +97,7 @@
     TargetRestarted = 500,
     /// The target does not respond.
     TargetLost = 501,
-    /// The content of a request is suspected of crashing targets.
+    /// A target crashed while it ran a request.
     Suspected = 502,
     /// The standing of a target's health has changed, as this router sees it.
     TargetStanding = 503,
@@ -112,6 +112,10 @@
     /// The platform's row of a target was added, changed or removed, as the platform or another
     /// router reported.
     TargetListed = 507,
+    /// Requests with certain features are refused from now on, because they crash targets.
+    Quarantined = 508,
+    /// Requests with certain features are served again.
+    Released = 509,
     /// The outcome of a call could not be recorded yet.
     ClaimPending = 600,
     /// The outcome of a call is unknown.
@@ -147,6 +151,7 @@
             | Self::TargetLost
             | Self::TargetSilent
             | Self::Suspected
+            | Self::Quarantined
             | Self::ClaimPending
             | Self::OutcomeUnknown => Level::WARN,
             _ => Level::INFO,
--- a/crates/cornelpass-operator/src/metrics/gateway.rs
+++ b/crates/cornelpass-operator/src/metrics/gateway.rs
@@ -74,6 +74,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     retries: Counter<u64>,
+    crashes: Counter<u64>,
     platform_calls: Counter<u64>,
     datagrams: Counter<u64>,
     datagram_bytes: Counter<u64>,
@@ -84,6 +85,7 @@
     timer_lag: Histogram<f64>,
     version: Gauge<u64>,
     retry_budget: Gauge<u64>,
+    quarantined: Gauge<u64>,
     open_requests: Gauge<u64>,
     open_files: Gauge<u64>,
     memory: Gauge<u64>,
@@ -100,6 +102,9 @@
     /// If the exporter cannot be registered.
     pub fn new() -> Result<Self, Whatever> {
         let instruments = Instruments::new()?;
+        let time_histogram = |name: &'static str, description: &'static str| {
+            instruments.time_histogram(name, description, &BUCKETS_S)
+        };
         Ok(Self {
             requests: instruments
                 .counter("cornelpass_gateway_requests", "Requests ended, by route"),
@@ -109,39 +114,39 @@
                 .counter("cornelpass_gateway_attempts", "Attempts ended, by target"),
             retries: instruments
                 .counter("cornelpass_gateway_retries", "Further attempts, by reason"),
+            crashes: instruments.counter(
+                "cornelpass_gateway_crashed_requests",
+                "Requests at targets that crashed, by target",
+            ),
             platform_calls: instruments
                 .counter("cornelpass_platform_calls", "Calls to the platform"),
             datagrams: instruments.counter("cornelpass_datagrams", "Datagrams to other routers"),
             datagram_bytes: instruments.counter("cornelpass_datagram_bytes", "Bytes of them"),
-            question_time: instruments.time_histogram(
+            question_time: time_histogram(
                 "cornelpass_accountant_question",
                 "Time for which an accountant was waited for",
-                &BUCKETS_S,
             ),
-            first_byte: instruments.time_histogram(
+            first_byte: time_histogram(
                 "cornelpass_gateway_first_byte",
                 "Time from the arrival of a request to the head of its answer",
-                &BUCKETS_S,
             ),
-            event_gap: instruments.time_histogram(
+            event_gap: time_histogram(
                 "cornelpass_gateway_event_gap",
                 "Time between two parts of a streamed answer",
-                &BUCKETS_S,
             ),
-            config_wait: instruments.time_histogram(
+            config_wait: time_histogram(
                 "cornelpass_gateway_held",
                 "Time for which a request waited for a configuration",
-                &BUCKETS_S,
-            ),
-            timer_lag: instruments.time_histogram(
-                "cornelpass_lag",
-                "Time by which a timer fired late",
-                &BUCKETS_S,
             ),
+            timer_lag: time_histogram("cornelpass_lag", "Time by which a timer fired late"),
             version: instruments
                 .gauge("cornelpass_gateway_config_version", "Configuration in force"),
             retry_budget: instruments
                 .gauge("cornelpass_gateway_retry_budget", "Retries that are left"),
+            quarantined: instruments.gauge(
+                "cornelpass_gateway_quarantined_groups",
+                "Groups of features whose requests are refused",
+            ),
             open_requests: instruments
                 .gauge("cornelpass_gateway_open_requests", "Requests in progress"),
             open_files: instruments.gauge("cornelpass_open_files", "Open files and connections"),
@@ -187,6 +192,11 @@
         self.retries.add(1, &[KeyValue::new("reason", reason.name())]);
     }
 
+    /// Counts a request that was in progress at a target when the target crashed.
+    pub fn count_crash(&self, target: &str) {
+        self.crashes.add(1, &[KeyValue::new("target", self.targets.label(target))]);
+    }
+
     /// Counts a call to the platform, by its kind and result.
     pub fn count_platform_call(&self, kind: &'static str, result: &'static str) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
@@ -236,6 +246,11 @@
         self.retry_budget.record(left, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Sets the number of groups of features whose requests are refused.
+    pub fn set_quarantined_groups(&self, groups: u64) {
+        self.quarantined.record(groups, &[]);
+    }
+
     /// Sets the number of requests in progress.
     pub fn set_open_requests(&self, requests: u64) {
         self.open_requests.record(requests, &[]);
--- a/crates/cornelpass-router/src/gateway/attempt.rs
+++ b/crates/cornelpass-router/src/gateway/attempt.rs
@@ -25,7 +25,7 @@
 use cornelpass_target::protocol::{Attempt, Classification, Metadata};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderMap};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
@@ -56,7 +56,10 @@
 #[derive(Debug)]
 pub enum Outcome {
     /// The complete response was forwarded to the caller.
-    Complete,
+    Complete {
+        /// Whether only the end of the connection shows the end of the response.
+        until_close: bool,
+    },
     /// The complete error response of the target, with this status, was forwarded to the caller.
     ErrorForwarded(StatusCode),
     /// The caller has disconnected.
@@ -88,7 +91,7 @@
     #[must_use]
     pub const fn name(&self) -> &'static str {
         match self {
-            Self::Complete => "answered",
+            Self::Complete { .. } => "answered",
             Self::CallerDisconnected => "caller_gone",
             Self::ErrorResponse(..) | Self::ErrorForwarded(_) => "failed",
             Self::Failed { execution: Execution::NotRun, reached_target: true, .. } => "refused",
@@ -98,15 +101,21 @@
         }
     }
 
-    /// Whether the target may have crashed.
-    ///
-    /// The request was sent, and then the connection failed or no response arrived in time.
+    /// What the outcome shows about whether the target crashes at the request.
     #[must_use]
-    pub const fn may_be_crash(&self) -> bool {
-        matches!(
-            self,
-            Self::Failed { reason: Reason::TargetLost, execution: Execution::Unknown, .. }
-        )
+    pub const fn crash_evidence(&self) -> CrashEvidence {
+        match self {
+            Self::Complete { until_close: false } => CrashEvidence::Completed,
+            Self::Complete { until_close: true } => CrashEvidence::CheckCompletion,
+            // The request was sent, and then the connection failed, no response arrived in time, or
+            // the response ended in the middle of an event.
+            Self::Failed {
+                reason: Reason::TargetLost | Reason::TargetError,
+                execution: Execution::Unknown,
+                ..
+            } => CrashEvidence::CheckFailure,
+            _ => CrashEvidence::None,
+        }
     }
 
     /// Outcome for the health check of the target; none if the attempt shows nothing about its
@@ -114,7 +123,7 @@
     #[must_use]
     pub const fn health_outcome(&self) -> Option<health::Outcome> {
         match self {
-            Self::Complete => Some(health::Outcome::Answered),
+            Self::Complete { .. } => Some(health::Outcome::Answered),
             Self::CallerDisconnected => None,
             Self::ErrorResponse(..) | Self::ErrorForwarded(_) => Some(health::Outcome::Failed),
             Self::Failed { reached_target: false, .. } => Some(health::Outcome::Unreachable),
@@ -126,11 +135,27 @@
     }
 }
 
+/// What the outcome of an attempt shows about whether the target crashes at the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashEvidence {
+    /// Nothing.
+    None,
+    /// The target completed the response.
+    Completed,
+    /// The connection ended after a response without a length, which was complete unless the target
+    /// has crashed.
+    CheckCompletion,
+    /// The response was lost, maybe because the target has crashed.
+    CheckFailure,
+}
+
 /// Chosen target and parameters of one attempt.
 #[derive(Debug)]
 pub struct Dispatch {
     /// Target of the attempt.
     pub choice: Choice,
+    /// When the request was sent.
+    pub sent_at: Instant,
     /// Ticket of the request among the requests in progress at the target.
     pub ticket: Ticket,
     /// Limits the time to the head of the response.
@@ -148,6 +173,8 @@
 struct TargetResponse {
     connection: WatchedConnection,
     metadata: Metadata,
+    /// Whether the response has no length and ends with its connection.
+    until_close: bool,
     status: StatusCode,
     headers: HeaderMap,
     body: Incoming,
@@ -206,7 +233,7 @@
 impl Delivery<'_> {
     /// Makes an attempt and forwards the response to the caller.
     pub async fn run_attempt(&mut self, state: &State, dispatch: &Dispatch) -> Outcome {
-        let Dispatch { choice, ticket, head_timeout } = dispatch;
+        let Dispatch { choice, ticket, head_timeout, .. } = dispatch;
         let pooled = match self.take_connection(state, choice).await {
             Ok(pooled) => pooled,
             Err(_) => return Outcome::failed(Reason::TargetLost, Execution::NotRun, false),
@@ -321,18 +348,13 @@
             Classification::Response { success, weights_version } => (success, weights_version),
         };
         let mut headers = parts.headers;
+        let until_close =
+            !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
         state.protocol.strip_hop_by_hop(&mut headers);
+        let status = parts.status;
+        let response = TargetResponse { connection, metadata, until_close, status, headers, body };
         if !success && self.request.retry_safety.allows_retry() {
-            let WatchedConnection { pooled, mut watch } = connection;
-            let body =
-                match self.wait_for(state, &mut watch, self.time_left(state), body.collect()).await
-                {
-                    Ok(Ok(body)) => body,
-                    Ok(Err(_)) => return Outcome::lost(Reason::TargetError),
-                    Err(outcome) => return outcome,
-                };
-            state.pool.release(state.clock.now(), pooled, idle_timeout(&metadata));
-            return Outcome::ErrorResponse(parts.status, Box::new(headers), body.to_bytes());
+            return self.collect_error(state, response).await;
         }
         if let Some(prompt) = &self.request.prompt {
             let Choice { target, position, .. } = &dispatch.choice;
@@ -345,21 +367,32 @@
         }
         if self.request.framing == Framing::Events && success {
             self.weights_version = self.weights_version.or(weights_version);
-            let response =
-                TargetResponse { connection, metadata, status: parts.status, headers, body };
             return self.forward_events(state, dispatch, response).await;
         }
         if self.head_sent {
             // The caller has the head of an earlier response, which this one cannot continue.
             return Outcome::lost(Reason::TargetError);
         }
-        let response = TargetResponse { connection, metadata, status: parts.status, headers, body };
         match self.forward_body(state, response).await {
-            Outcome::Complete if !success => Outcome::ErrorForwarded(parts.status),
+            Outcome::Complete { .. } if !success => Outcome::ErrorForwarded(status),
             outcome => outcome,
         }
     }
 
+    /// Reads an error response without forwarding it.
+    async fn collect_error(&self, state: &State, response: TargetResponse) -> Outcome {
+        let TargetResponse { connection, metadata, status, headers, body, .. } = response;
+        let WatchedConnection { pooled, mut watch } = connection;
+        let body =
+            match self.wait_for(state, &mut watch, self.time_left(state), body.collect()).await {
+                Ok(Ok(body)) => body,
+                Ok(Err(_)) => return Outcome::lost(Reason::TargetError),
+                Err(outcome) => return outcome,
+            };
+        state.pool.release(state.clock.now(), pooled, idle_timeout(&metadata));
+        Outcome::ErrorResponse(status, Box::new(headers), body.to_bytes())
+    }
+
     /// Applies the notice of the target in the head of a response: a departure or a pause.
     fn apply_notice(
         &self,
@@ -394,7 +427,8 @@
     /// body is small enough to be buffered.
     async fn forward_body(&mut self, state: &State, response: TargetResponse) -> Outcome {
         use hyper::body::Body as _;
-        let TargetResponse { connection, metadata, status, headers, mut body } = response;
+        let TargetResponse { connection, metadata, until_close, status, headers, mut body } =
+            response;
         let WatchedConnection { pooled, mut watch } = connection;
         let small = body.size_hint().upper().is_some_and(|size| size <= BUFFERED_BODY_LIMIT_BYTES);
         if small && self.request.retry_safety == RetrySafety::Idempotent {
@@ -409,7 +443,7 @@
             self.send_head(state, status, headers).await;
             self.send_frame(Frame::Data(complete.to_bytes())).await;
             self.send_frame(Frame::End).await;
-            return Outcome::Complete;
+            return Outcome::Complete { until_close };
         }
         self.send_head(state, status, headers).await;
         loop {
@@ -427,7 +461,7 @@
         }
         state.pool.release(state.clock.now(), pooled, idle_timeout(&metadata));
         self.send_frame(Frame::End).await;
-        Outcome::Complete
+        Outcome::Complete { until_close }
     }
 
     /// Forwards the complete events of a stream.
@@ -437,7 +471,8 @@
         dispatch: &Dispatch,
         response: TargetResponse,
     ) -> Outcome {
-        let TargetResponse { connection, metadata, status, mut headers, mut body } = response;
+        let TargetResponse { connection, metadata, until_close, status, mut headers, mut body } =
+            response;
         let WatchedConnection { pooled, mut watch } = connection;
         // The stream may continue at another target with events of another length. The content
         // length of the first target would then be wrong.
@@ -476,7 +511,7 @@
         }
         state.pool.release(state.clock.now(), pooled, idle_timeout(&metadata));
         self.send_frame(Frame::End).await;
-        Outcome::Complete
+        Outcome::Complete { until_close }
     }
 
     /// Sends the head of the response to the caller, unless an earlier attempt has sent it.
--- a/crates/cornelpass-router/src/gateway/crash_check.rs
+++ b/crates/cornelpass-router/src/gateway/crash_check.rs
@@ -1,31 +1,92 @@
 //! Checks whether a target crashed during a request.
 //!
 //! A failed connection alone does not prove a crash, because the response may also be lost in the
-//! network. The target counts as crashed only if it accepts no new connection immediately
-//! afterwards. Only then are the contents that it was running suspected of crashing targets.
+//! network. The target counts as crashed only if it refuses a new connection immediately
+//! afterwards. A response without a length ends with its connection, also if the target crashes, so
+//! that its end is checked in the same way.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use cornelpass_core::quarantine::feature::{self, Feature};
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
+use super::attempt::CrashEvidence;
 use super::state::State;
 
 /// Limits the time for a running target to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Connects to a target after a failed attempt, and records a crash if the target does not accept
-/// the connection.
-///
-/// `content` is the digest of the request of the failed attempt.
-pub async fn check_target(state: Arc<State>, target: String, address: SocketAddr, content: u64) {
-    if state.pool.open(address, CONNECT_TIMEOUT).await.is_ok() {
-        return;
+/// An attempt that has ended.
+#[derive(Debug)]
+pub struct EndedAttempt {
+    /// Name of the target.
+    pub target: String,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Features of the request.
+    pub features: Vec<Feature>,
+    /// When the request was sent.
+    pub sent_at: Instant,
+}
+
+/// Reaction of a target to an attempt to connect.
+enum Reaction {
+    /// The target accepts connections.
+    Accepts,
+    /// No process listens on the address.
+    Refuses,
+    /// No reaction, or a failure that does not show whether the target is running.
+    Unknown,
+}
+
+/// Records what the end of an attempt shows about the features of its request.
+pub fn record(state: &Arc<State>, attempt: EndedAttempt, evidence: CrashEvidence) {
+    match evidence {
+        CrashEvidence::None => {}
+        CrashEvidence::Completed => record_completion(state, &attempt.features),
+        CrashEvidence::CheckCompletion | CrashEvidence::CheckFailure => {
+            tokio::spawn(check_target(Arc::clone(state), attempt, evidence));
+        }
+    }
+}
+
+/// Connects to the target, and records a crash if it refuses the connection.
+async fn check_target(state: Arc<State>, attempt: EndedAttempt, evidence: CrashEvidence) {
+    match probe(attempt.address).await {
+        Reaction::Refuses => record_crash(&state, &attempt),
+        Reaction::Accepts if evidence == CrashEvidence::CheckCompletion => {
+            record_completion(&state, &attempt.features);
+        }
+        Reaction::Accepts | Reaction::Unknown => {}
     }
-    let contents = state.fleet().record_crash(state.clock.now(), &target, content);
-    for content in contents {
-        log!(Code::Suspected, target, content = format_args!("{content:016x}"));
+}
+
+async fn probe(address: SocketAddr) -> Reaction {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reaction::Accepts,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Reaction::Refuses,
+        Ok(Err(_)) | Err(_) => Reaction::Unknown,
     }
 }
+
+fn record_crash(state: &State, attempt: &EndedAttempt) {
+    let EndedAttempt { target, features, sent_at, .. } = attempt;
+    let now = state.clock.now();
+    if state.fleet().record_crash(now, target, features, *sent_at) {
+        state.metrics.count_crash(target);
+        log!(Code::Suspected, target, features = feature::summary(features));
+    }
+    state.process_quarantine_changes();
+}
+
+fn record_completion(state: &State, features: &[Feature]) {
+    let now = state.clock.now();
+    state.fleet().quarantine().record_response(now, features);
+    state.process_quarantine_changes();
+}
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -1,6 +1,7 @@
-//! Communication between routers: reports as datagrams, and snapshots of the state over HTTP.
+//! Communication between routers: reports and bulletins as datagrams, and snapshots of the state over
+//! HTTP.
 //!
-//! Reports are encoded with `postcard` and sent as datagrams, because a JSON-RPC connection to each
+//! They are encoded with `postcard` and sent as datagrams, because a JSON-RPC connection to each
 //! router would need more memory than the rest of the process. Snapshots are larger and rarely
 //! needed: a router requests one when it starts, and when another router has newer rows of the
 //! operators than the platform has returned.
@@ -56,7 +57,11 @@
         let report = Datagram::Report(state.build_report(sequence));
         let others: Vec<SocketAddr> = state.fleet().peers().addresses().collect();
         // A lost report needs no repetition: the next report replaces it.
-        let length = accounting::send_datagram(&state, &others, &report);
+        let mut length = accounting::send_datagram(&state, &others, &report);
+        let bulletin = state.fleet().quarantine().bulletin(state.clock.now());
+        if let Some(bulletin) = bulletin {
+            length += accounting::send_datagram(&state, &others, &Datagram::Bulletin(bulletin));
+        }
         for address in state.fleet().peers().take_lost(state.clock.now()) {
             log!(Code::PeerLost, router = %address);
         }
@@ -97,6 +102,10 @@
                     log!(Code::AccountantReturned, router = %address);
                 }
             }
+            Ok(Datagram::Bulletin(bulletin)) => {
+                state.fleet().quarantine().apply(state.clock.now(), &bulletin);
+                state.process_quarantine_changes();
+            }
             Err(error) => log!(Code::PeerUnreadable, router = %address, %error),
         }
     }
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -13,10 +13,10 @@
 use bytes::Bytes;
 use cornelpass_caller::gateway::{self, Frame, Message};
 use cornelpass_caller::problem::Problem;
-use cornelpass_core::admission::suspect;
 use cornelpass_core::events::Events;
 use cornelpass_core::gateway_config::{Config, Limits};
 use cornelpass_core::history::{FailedAttempt, History, Next, Policy};
+use cornelpass_core::quarantine::feature::Feature;
 use cornelpass_core::refusal::{Execution, Reason};
 use cornelpass_core::request::{Prompt, Request};
 use cornelpass_operator::event::Code;
@@ -29,7 +29,7 @@
 
 use super::accounting::{report_usage, select_target};
 use super::attempt::{Delivery, Dispatch, Outcome, Timing};
-use super::crash_check;
+use super::crash_check::{self, EndedAttempt};
 use super::state::State;
 
 /// Number of frames that are buffered for a caller that reads slowly.
@@ -165,9 +165,10 @@
         progress.reason = Reason::DeadlineExceeded;
         return finish(state, delivery, progress).await;
     }
-    let level = state.fleet().suspects().level(now, request.digest);
-    if level == suspect::Level::Blocked {
-        progress.reason = Reason::SuspectedCrash;
+    let features = request.features();
+    let quarantined = state.fleet().quarantine().remaining(now, &features);
+    if let Some(remaining) = quarantined {
+        (progress.reason, progress.retry_delay) = (Reason::SuspectedCrash, remaining);
         return finish(state, delivery, progress).await;
     }
     let (choice, selection) = match select_target(state, request, &progress.history).await {
@@ -183,7 +184,7 @@
         }
     };
     let now = state.clock.now();
-    let ticket = state.fleet().record_sent(now, &choice.target, request.digest);
+    let ticket = state.fleet().record_sent(now, &choice.target, &features);
     // An accountant that granted the request at the chosen target has counted it already. The
     // accountants of other targets that granted it must release it.
     if !selection.is_granted(&choice.target) {
@@ -214,17 +215,22 @@
         reports_ms = report_age_ms
     );
     let head_timeout = head_timeout(request, &progress.history, now);
-    let dispatch = Dispatch { choice, ticket, head_timeout };
+    let dispatch = Dispatch { choice, sent_at: now, ticket, head_timeout };
     let outcome = delivery.run_attempt(state, &dispatch).await;
-    record_outcome(state, request, &dispatch, &outcome);
+    record_outcome(state, &dispatch, features, &outcome);
     next_step(state, delivery, progress, &dispatch.choice.target, outcome).await
 }
 
-/// Records the outcome of an attempt for its target, and starts a crash check if the target may
-/// have crashed.
-fn record_outcome(state: &Arc<State>, request: &Request, dispatch: &Dispatch, outcome: &Outcome) {
-    let Dispatch { choice, ticket, .. } = dispatch;
-    let (target, content, health) = (&choice.target, request.digest, outcome.health_outcome());
+/// Records the outcome of an attempt for its target, and what it shows about whether the request
+/// crashes targets.
+fn record_outcome(
+    state: &Arc<State>,
+    dispatch: &Dispatch,
+    features: Vec<Feature>,
+    outcome: &Outcome,
+) {
+    let Dispatch { choice, sent_at, ticket, .. } = dispatch;
+    let (target, health) = (&choice.target, outcome.health_outcome());
     state.metrics.count_attempt(target, outcome.name());
     let standings = state.fleet().record_end(state.clock.now(), target, *ticket, health);
     report_usage(state, target);
@@ -232,10 +238,9 @@
     if before != after {
         log!(Code::TargetStanding, target, %before, %after);
     }
-    if outcome.may_be_crash() {
-        let (state, target) = (Arc::clone(state), target.clone());
-        tokio::spawn(crash_check::check_target(state, target, choice.address, content));
-    }
+    let (target, address, sent_at) = (target.clone(), choice.address, *sent_at);
+    let attempt = EndedAttempt { target, address, features, sent_at };
+    crash_check::record(state, attempt, outcome.crash_evidence());
 }
 
 /// Time limit for the head of the response of an attempt.
@@ -262,7 +267,7 @@
     let route = &delivery.request.route;
     let response_started = delivery.head_sent;
     let failed_attempt = match outcome {
-        Outcome::Complete => {
+        Outcome::Complete { .. } => {
             let ms = now.saturating_duration_since(delivery.request.arrived_at).as_millis();
             let ms = u64::try_from(ms).unwrap_or(u64::MAX);
             let (first_ms, gap_ms) = delivery.timing.summary_ms(delivery.request.arrived_at);
@@ -346,8 +351,7 @@
         delivery.send_frame(Frame::End).await;
         return Step::Done;
     }
-    let may_retry = execution == Execution::NotRun && progress.reason != Reason::SuspectedCrash;
-    let retry_delay = may_retry.then_some(progress.retry_delay);
+    let retry_delay = (execution == Execution::NotRun).then_some(progress.retry_delay);
     let problem = Problem::new(progress.reason, execution).with_retry_after(retry_delay);
     let delay_ms =
         retry_delay.map_or(0, |delay| u64::try_from(delay.as_millis()).unwrap_or(u64::MAX));
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use cornelpass_core::clock::Clock;
 use cornelpass_core::fleet::{self, Fleet, ListingChange};
 use cornelpass_core::gateway_config::Config;
+use cornelpass_core::quarantine::{Change, feature};
 use cornelpass_core::report::{self, Report};
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
@@ -86,12 +87,6 @@
     }
 }
 
-/// Limits a list to the length that fits into a report.
-fn truncate_for_report(mut list: Vec<u64>) -> Vec<u64> {
-    list.truncate(report::MAX_LIST_LENGTH);
-    list
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -306,12 +301,15 @@
                 .unwrap_or_default()
         };
         let config = age(*lock(&self.config_applied_at));
-        let (sync_age, reports, members) = {
+        let (sync_age, reports, members, quarantined) = {
             let mut fleet = self.fleet();
+            let quarantined = fleet.quarantine().group_count(now) as u64;
             let sync_age =
                 Duration::from_millis(u64::from(fleet.change_log().response_age_ms(now)));
-            (sync_age, fleet.peers().mean_report_age(now), fleet.peers().member_count(now))
+            let reports = fleet.peers().mean_report_age(now);
+            (sync_age, reports, fleet.peers().member_count(now), quarantined)
         };
+        self.metrics.set_quarantined_groups(quarantined);
         self.metrics.set_ages(config, sync_age, reports);
         self.metrics.set_open_requests(self.open_request_count() as u64);
         self.metrics.update_process_metrics();
@@ -339,7 +337,7 @@
             version,
             operator_revision: self.operator_revision(),
             leaving,
-            suspects: truncate_for_report(fleet.suspects().observed_crashes(now)),
+            suspects: Vec::new(),
             cache_entries: fleet.cache_index().take_new_entries(report::max_cache_entries(others)),
             listed_ms: fleet.change_log().response_age_ms(now),
             last_change: fleet.change_log().last_number(),
@@ -349,6 +347,28 @@
         }
     }
 
+    /// Logs the changes of the quarantine, and requests a report if the other routers should learn
+    /// of them at once.
+    pub fn process_quarantine_changes(&self) {
+        let (changes, due) = {
+            let mut fleet = self.fleet();
+            (fleet.quarantine().take_changes(), fleet.quarantine().take_bulletin_due())
+        };
+        for change in changes {
+            match change {
+                Change::Quarantined(features) => {
+                    log!(Code::Quarantined, features = feature::summary(&features));
+                }
+                Change::Released(features) => {
+                    log!(Code::Released, features = feature::summary(&features));
+                }
+            }
+        }
+        if due {
+            self.request_report();
+        }
+    }
+
     /// Retry budgets of the services.
     pub fn budgets(&self) -> MutexGuard<'_, ServiceBudgets> {
         lock(&self.budgets)
