fix(router): keep the quarantine over restarts of the routers

Callers saw, if the routers restarted during the incident: the refused requests crashed targets again. Cause: only routers told each other what is refused, so that it was lost if all restarted within a short time. Evidence: routers_that_start_refuse_what_was_refused_before failed: 6 of 9 requests reached targets after a restart of three routers in turn. Change: a note on the platform, read at the start and written by the first poller after a change;

--- a/crates/cornelpass-core/src/fleet/polling.rs
+++ b/crates/cornelpass-core/src/fleet/polling.rs
@@ -238,10 +238,10 @@
         self.pollers_before(now) < POLLERS
     }
 
-    /// Whether this router writes the routers' note of the cache index on the platform; only the
+    /// Whether this router writes the notes that the routers share on the platform; only the
     /// first poller does.
     #[must_use]
-    pub fn writes_cache_note(&self, now: Instant) -> bool {
+    pub fn writes_notes(&self, now: Instant) -> bool {
         self.pollers_before(now) == 0
     }
 
--- a/crates/cornelpass-core/src/quarantine.rs
+++ b/crates/cornelpass-core/src/quarantine.rs
@@ -84,12 +84,6 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
-    /// Number of groups in quarantine.
-    #[must_use]
-    pub fn group_count(&self, now: Instant) -> usize {
-        self.groups.values().filter(|since| !remaining_time(now, **since).is_zero()).count()
-    }
-
     /// Records a crash that this router observed, with the features of its requests in progress
     /// there and the times at which they were sent.
     pub fn record_crash(
@@ -136,7 +130,12 @@
             let features = crash.features.iter().map(sent).collect();
             self.apply_crash(now, Crash { target: crash.target, at, observed: false, features });
         }
-        for group in &bulletin.groups {
+        self.apply_groups(now, &bulletin.groups);
+    }
+
+    /// Quarantines groups that another router, or an earlier process, has quarantined.
+    pub fn apply_groups(&mut self, now: Instant, groups: &[Group]) {
+        for group in groups {
             let since = time_of(now, group.age_ms);
             let is_cleared = |feature: &Feature| {
                 self.evidence.last_response(*feature).is_some_and(|at| at >= since)
@@ -147,6 +146,19 @@
         }
     }
 
+    /// Groups in quarantine, in the order of their features.
+    #[must_use]
+    pub fn groups(&self, now: Instant) -> Vec<Group> {
+        let active =
+            self.groups.iter().filter(|(_, since)| !remaining_time(now, **since).is_zero());
+        active
+            .map(|(features, since)| Group {
+                features: features.clone(),
+                age_ms: age_ms(now, *since),
+            })
+            .collect()
+    }
+
     /// Next bulletin for the other routers; none if there is nothing to tell.
     #[must_use]
     pub fn bulletin(&mut self, now: Instant) -> Option<Bulletin> {
@@ -195,20 +207,15 @@
 
     /// Groups for a bulletin, the latest first.
     fn groups_to_report(&self, now: Instant) -> Vec<Group> {
-        let mut groups: Vec<(&Vec<Feature>, &Instant)> = self.groups.iter().collect();
-        groups.sort_by_key(|(_, since)| std::cmp::Reverse(**since));
+        let mut groups = self.groups(now);
+        groups.sort_by_key(|group| group.age_ms);
         let mut free = bulletin::MAX_GROUP_FEATURES;
-        let fitting = groups.into_iter().take_while(|(features, _)| {
-            let fits = features.len() <= free;
-            free = free.saturating_sub(features.len());
+        let fitting = groups.into_iter().take_while(|group| {
+            let fits = group.features.len() <= free;
+            free = free.saturating_sub(group.features.len());
             fits
         });
-        fitting
-            .map(|(features, since)| Group {
-                features: features.clone(),
-                age_ms: age_ms(now, *since),
-            })
-            .collect()
+        fitting.collect()
     }
 
     fn apply_crash(&mut self, now: Instant, crash: Crash) {
--- a/crates/cornelpass-router/src/gateway.rs
+++ b/crates/cornelpass-router/src/gateway.rs
@@ -3,7 +3,8 @@
 //!
 //! [`state::State`] combines the configuration, the fleet and the retry budgets. [`platform_sync`]
 //! updates it from the platform, and [`peers`] from the other routers. [`cache_note`] stores on the
-//! platform which targets have cached which prefixes of prompts.
+//! platform which targets have cached which prefixes of prompts, and [`quarantine_note`] which
+//! requests are refused because they crash targets.
 //!
 //! [`relay`] processes the requests of callers, and [`attempt`] makes one attempt at one target.
 //! [`accounting`] asks the accountants of targets whether a target may get a request.
@@ -22,6 +23,7 @@
 pub mod feed_counter;
 pub mod peers;
 pub mod platform_sync;
+pub mod quarantine_note;
 pub mod relay;
 pub mod serve;
 pub mod silence;
--- a/crates/cornelpass-router/src/gateway/cache_note.rs
+++ b/crates/cornelpass-router/src/gateway/cache_note.rs
@@ -52,7 +52,7 @@
         let cache_entries = {
             let mut fleet = state.fleet();
             let available = fleet.change_log().response_age_ms(now) < MAX_SYNC_AGE_MS;
-            let writes = available && fleet.writes_cache_note(now);
+            let writes = available && fleet.writes_notes(now);
             writes.then(|| fleet.cache_index().entries(MAX_ENTRIES))
         };
         let Some(cache_entries) =
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -29,7 +29,7 @@
 use super::feed_counter::Counter;
 use super::relay::Relay;
 use super::state::State;
-use super::{accounting, cache_note, peers, platform_sync, silence};
+use super::{accounting, cache_note, peers, platform_sync, quarantine_note, silence};
 
 /// Time for which a stopping gateway still accepts connections.
 ///
@@ -116,6 +116,7 @@
         ));
     }
     tokio::spawn(cache_note::run(Arc::clone(&state), feed.clone()));
+    tokio::spawn(quarantine_note::run(Arc::clone(&state), feed.clone()));
     tokio::spawn(silence::run(Arc::clone(&state)));
     start_peer_tasks(&state, &settings, feed).await?;
     let readiness_responder = Arc::new(Readiness { state: Arc::clone(&state) });
--- a/crates/cornelpass-router/src/gateway/snapshot.rs
+++ b/crates/cornelpass-router/src/gateway/snapshot.rs
@@ -8,6 +8,7 @@
 
 use cornelpass_core::fleet::Row;
 use cornelpass_core::gateway_config::Config;
+use cornelpass_core::quarantine::bulletin::Group;
 use serde::{Deserialize, Serialize};
 
 use super::state::State;
@@ -27,6 +28,9 @@
     targets: BTreeMap<String, (Row, u64)>,
     /// Addresses of the other routers for datagrams.
     routers: Vec<SocketAddr>,
+    /// Groups of features whose requests are refused.
+    #[serde(default)]
+    quarantined: Vec<Group>,
 }
 
 impl Snapshot {
@@ -42,7 +46,8 @@
             .collect();
         let closed_data_centres = fleet.closed_data_centres().clone();
         let routers = fleet.peers().addresses().collect();
-        Some(Self { operator_revision, config, closed_data_centres, targets, routers })
+        let quarantined = fleet.quarantine().groups(state.clock.now());
+        Some(Self { operator_revision, config, closed_data_centres, targets, routers, quarantined })
     }
 
     /// Version of the configuration.
@@ -64,7 +69,9 @@
             for address in self.routers {
                 fleet.add_router(now, address);
             }
+            fleet.quarantine().apply_groups(now, &self.quarantined);
         }
+        state.process_quarantine_changes();
         if self.operator_revision > state.operator_revision() {
             state.set_closed_data_centres(self.closed_data_centres);
         }
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -303,7 +303,7 @@
         let config = age(*lock(&self.config_applied_at));
         let (sync_age, reports, members, quarantined) = {
             let mut fleet = self.fleet();
-            let quarantined = fleet.quarantine().group_count(now) as u64;
+            let quarantined = fleet.quarantine().groups(now).len() as u64;
             let sync_age =
                 Duration::from_millis(u64::from(fleet.change_log().response_age_ms(now)));
             let reports = fleet.peers().mean_report_age(now);
