fix(core): let an immediate retry count as the next crash

Cause: a crash was dated when the check of the target had ended, one to two milliseconds after the failed attempt, so that a retry that was sent at once seemed to precede it. Change: a crash is dated by the end of the attempt, and by the earliest of several routers.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -558,14 +558,14 @@
         &mut self.quarantine
     }
 
-    /// Records that a target crashed while it ran a request with these features, which was sent at
-    /// `sent_at`.
+    /// Records that a target crashed at `at` while it ran a request with these features, which was
+    /// sent at `sent_at`.
     ///
     /// The other requests in progress there become part of the evidence. The end of a target that
     /// was about to stop is no crash. Returns whether the crash counts.
     pub fn record_crash(
         &mut self,
-        now: Instant,
+        at: Instant,
         target: &str,
         features: &[Feature],
         sent_at: Instant,
@@ -575,7 +575,7 @@
         };
         let own = features.iter().map(|feature| (*feature, sent_at));
         let in_progress = self.loads.features(target).chain(own);
-        self.quarantine.record_crash(now, record.short_hash, in_progress);
+        self.quarantine.record_crash(at, record.short_hash, in_progress);
         true
     }
 
--- a/crates/cornelpass-core/src/quarantine.rs
+++ b/crates/cornelpass-core/src/quarantine.rs
@@ -84,11 +84,11 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
-    /// Records a crash that this router observed, with the features of its requests in progress
-    /// there and the times at which they were sent.
+    /// Records a crash that this router observed at `at`, with the features of its requests in
+    /// progress there and the times at which they were sent.
     pub fn record_crash(
         &mut self,
-        now: Instant,
+        at: Instant,
         target: u32,
         features: impl IntoIterator<Item = (Feature, Instant)>,
     ) {
@@ -98,7 +98,7 @@
             *last = sent_at.max(*last);
         }
         self.bulletin_due = true;
-        self.apply_crash(now, Crash { target, at: now, observed: true, features: last_sent });
+        self.apply_crash(at, Crash { target, at, observed: true, features: last_sent });
     }
 
     /// Records a complete response to a request of this router.
--- a/crates/cornelpass-core/src/quarantine/evidence.rs
+++ b/crates/cornelpass-core/src/quarantine/evidence.rs
@@ -77,6 +77,7 @@
         };
         let known = &mut self.crashes[index];
         known.observed |= crash.observed;
+        known.at = crash.at.min(known.at);
         let mut added = BTreeSet::new();
         for (feature, sent_at) in crash.features {
             match known.features.get_mut(&feature) {
@@ -88,6 +89,7 @@
                 }
             }
         }
+        self.crashes.sort_by_key(|crash| crash.at);
         added
     }
 
--- a/crates/cornelpass-core/tests/pattern_crashing_parts.rs
+++ b/crates/cornelpass-core/tests/pattern_crashing_parts.rs
@@ -274,6 +274,22 @@
     assert_eq!(request.features(), [Feature::Content(1)]);
 }
 
+// Guards against a retry that crashes a second target and does not count, because it was sent before
+// the crash of the first one was confirmed.
+#[test]
+fn a_retry_at_once_follows_the_crash() {
+    let mut routers = Routers::new(1);
+    let mut sent_at = routers.now;
+    for target in 0..SEQUENCE_LIMIT {
+        let failed_at = sent_at + CRASH_DELAY;
+        let features = crashing(1).into_iter().map(|feature| (feature, sent_at));
+        routers.routers[0].record_crash(failed_at, target as u32, features);
+        sent_at = failed_at;
+    }
+    routers.now = sent_at;
+    assert_eq!(routers.refusing(&crashing(1)), 1);
+}
+
 /// Time after the fifth crash from which the users' bound on further requests holds.
 const CONTACT: Duration = Duration::from_secs(3);
 
--- a/crates/cornelpass-router/src/gateway/crash_check.rs
+++ b/crates/cornelpass-router/src/gateway/crash_check.rs
@@ -33,6 +33,8 @@
     pub features: Vec<Feature>,
     /// When the request was sent.
     pub sent_at: Instant,
+    /// When the attempt ended, which is the time of the crash if the target crashed.
+    pub ended_at: Instant,
 }
 
 /// Reaction of a target to an attempt to connect.
@@ -76,9 +78,8 @@
 }
 
 fn record_crash(state: &State, attempt: &EndedAttempt) {
-    let EndedAttempt { target, features, sent_at, .. } = attempt;
-    let now = state.clock.now();
-    if state.fleet().record_crash(now, target, features, *sent_at) {
+    let EndedAttempt { target, features, sent_at, ended_at, .. } = attempt;
+    if state.fleet().record_crash(*ended_at, target, features, *sent_at) {
         state.metrics.count_crash(target);
         log!(Code::Suspected, target, features = feature::summary(features));
     }
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -232,14 +232,15 @@
     let Dispatch { choice, sent_at, ticket, .. } = dispatch;
     let (target, health) = (&choice.target, outcome.health_outcome());
     state.metrics.count_attempt(target, outcome.name());
-    let standings = state.fleet().record_end(state.clock.now(), target, *ticket, health);
+    let ended_at = state.clock.now();
+    let standings = state.fleet().record_end(ended_at, target, *ticket, health);
     report_usage(state, target);
     let (before, after) = standings;
     if before != after {
         log!(Code::TargetStanding, target, %before, %after);
     }
     let (target, address, sent_at) = (target.clone(), choice.address, *sent_at);
-    let attempt = EndedAttempt { target, address, features, sent_at };
+    let attempt = EndedAttempt { target, address, features, sent_at, ended_at };
     crash_check::record(state, attempt, outcome.crash_evidence());
 }
 
