fix(router): check for a crash before a request is tried again

Callers saw: one stream with a crashing part took down four targets. Cause: the next attempt was sent before the check of the target had confirmed the crash. Change: a retry waits for the check, for 20 ms at most.

--- a/crates/cornelpass-router/src/gateway/crash_check.rs
+++ b/crates/cornelpass-router/src/gateway/crash_check.rs
@@ -14,6 +14,7 @@
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use super::attempt::CrashEvidence;
@@ -48,12 +49,21 @@
 }
 
 /// Records what the end of an attempt shows about the features of its request.
-pub fn record(state: &Arc<State>, attempt: EndedAttempt, evidence: CrashEvidence) {
+///
+/// Returns the check of the target, if there is one; it continues when the value is dropped.
+pub fn record(
+    state: &Arc<State>,
+    attempt: EndedAttempt,
+    evidence: CrashEvidence,
+) -> Option<JoinHandle<()>> {
     match evidence {
-        CrashEvidence::None => {}
-        CrashEvidence::Completed => record_completion(state, &attempt.features),
+        CrashEvidence::None => None,
+        CrashEvidence::Completed => {
+            record_completion(state, &attempt.features);
+            None
+        }
         CrashEvidence::CheckCompletion | CrashEvidence::CheckFailure => {
-            tokio::spawn(check_target(Arc::clone(state), attempt, evidence));
+            Some(tokio::spawn(check_target(Arc::clone(state), attempt, evidence)))
         }
     }
 }
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -13,7 +13,9 @@
 use bytes::Bytes;
 use cornelpass_caller::gateway::{self, Frame, Message};
 use cornelpass_caller::problem::Problem;
+use cornelpass_core::accounting::selection::Selection;
 use cornelpass_core::events::Events;
+use cornelpass_core::fleet::Choice;
 use cornelpass_core::gateway_config::{Config, Limits};
 use cornelpass_core::history::{FailedAttempt, History, Next, Policy};
 use cornelpass_core::quarantine::feature::Feature;
@@ -25,6 +27,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use super::accounting::{report_usage, select_target};
@@ -55,6 +58,12 @@
 /// Retry delay of a refused request, unless the target selection gives another one.
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time for which a retry waits for the check whether the target has crashed.
+///
+/// A crashed target refuses a connection within a round trip; one that is unreachable would delay
+/// the retry for longer than callers should wait.
+const CRASH_CHECK_WAIT: Duration = Duration::from_millis(20);
+
 /// Relay of the gateway interface, which sends the requests of callers to targets.
 pub struct Relay {
     state: Arc<State>,
@@ -191,6 +200,27 @@
         report_usage(state, &choice.target);
     }
     selection.granted_elsewhere(&choice.target).for_each(|target| report_usage(state, target));
+    log_routed(state, request, progress.history.attempts() + 1, &choice, &selection);
+    let head_timeout = head_timeout(request, &progress.history, now);
+    let dispatch = Dispatch { choice, sent_at: now, ticket, head_timeout };
+    let outcome = delivery.run_attempt(state, &dispatch).await;
+    let check = record_outcome(state, &dispatch, features, &outcome);
+    let step = next_step(state, delivery, progress, &dispatch.choice.target, outcome).await;
+    if let (Step::Retry, Some(check)) = (&step, check) {
+        // If the target has crashed, the request may be quarantined now.
+        let _ = timeout(CRASH_CHECK_WAIT, check).await;
+    }
+    step
+}
+
+/// Logs that a request is sent to its chosen target, with the grounds for the choice.
+fn log_routed(
+    state: &State,
+    request: &Request,
+    attempt: u32,
+    choice: &Choice,
+    selection: &Selection,
+) {
     let (sync_age_ms, report_age_ms) = state.ages_ms();
     log!(
         Code::Routed,
@@ -198,7 +228,7 @@
         content = format_args!("{:016x}", request.digest),
         key = format_args!("{:016x}", request.placement_key()),
         target = choice.target,
-        attempt = progress.history.attempts() + 1,
+        attempt,
         load = choice.load,
         bound = choice.bound,
         source = %choice.source,
@@ -214,21 +244,16 @@
         list_ms = sync_age_ms,
         reports_ms = report_age_ms
     );
-    let head_timeout = head_timeout(request, &progress.history, now);
-    let dispatch = Dispatch { choice, sent_at: now, ticket, head_timeout };
-    let outcome = delivery.run_attempt(state, &dispatch).await;
-    record_outcome(state, &dispatch, features, &outcome);
-    next_step(state, delivery, progress, &dispatch.choice.target, outcome).await
 }
 
 /// Records the outcome of an attempt for its target, and what it shows about whether the request
-/// crashes targets.
+/// crashes targets; returns the check of the target, if there is one.
 fn record_outcome(
     state: &Arc<State>,
     dispatch: &Dispatch,
     features: Vec<Feature>,
     outcome: &Outcome,
-) {
+) -> Option<JoinHandle<()>> {
     let Dispatch { choice, sent_at, ticket, .. } = dispatch;
     let (target, health) = (&choice.target, outcome.health_outcome());
     state.metrics.count_attempt(target, outcome.name());
@@ -241,7 +266,7 @@
     }
     let (target, address, sent_at) = (target.clone(), choice.address, *sent_at);
     let attempt = EndedAttempt { target, address, features, sent_at, ended_at };
-    crash_check::record(state, attempt, outcome.crash_evidence());
+    crash_check::record(state, attempt, outcome.crash_evidence())
 }
 
 /// Time limit for the head of the response of an attempt.
