fix(router): end a response without end at the deadline

Callers saw: a response to a booking that went on for 430 s with a deadline of 2 s. Cause: each read of a body has the time that is left as its time-out, and a time-out of zero does not end a read that is always ready, as it is while a failing target sends bytes without end. Change: no read starts after the deadline.

--- a/crates/cornelpass-router/src/gateway/attempt.rs
+++ b/crates/cornelpass-router/src/gateway/attempt.rs
@@ -268,6 +268,11 @@
         limit: Duration,
         future: impl Future<Output = T>,
     ) -> Result<T, Outcome> {
+        // A time-out of zero does not end an operation that is always ready, such as the next read
+        // from a target that sends without end.
+        if limit.is_zero() {
+            return Err(Outcome::lost(Reason::DeadlineExceeded));
+        }
         tokio::select! {
             result = timeout(limit, future) =>
                 result.map_err(|_| match self.time_left(state).is_zero() {
