fix(router): limit the buffered body of an error response

Callers saw nothing yet; a router would have run out of memory and lost all its requests. Cause: the error response to a request that may be repeated is buffered, whatever its size, and a failing target may send bytes without end. Evidence: gateway_endless, 111 MB in 2 s at 64 MB/s. Change: a body over 256 KiB counts as invalid, and the request is tried elsewhere. Result: gateway_endless sends bytes without end in nine places of a response to a look-up and to a booking; the router needs at most 2.8 MB more, and all requests end by their deadline.

--- a/crates/cornelpass-router/src/gateway/attempt.rs
+++ b/crates/cornelpass-router/src/gateway/attempt.rs
@@ -23,7 +23,7 @@
 use cornelpass_target::error::Error;
 use cornelpass_target::pool::PooledConnection;
 use cornelpass_target::protocol::{Attempt, Classification, Metadata};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
@@ -48,10 +48,15 @@
 /// bytes.
 ///
 /// These responses are buffered only for idempotent requests, so that another attempt can follow if
-/// the body ends early. Error responses to requests that may be repeated are always buffered,
-/// whatever their size.
+/// the body ends early.
 const BUFFERED_BODY_LIMIT_BYTES: u64 = 64 * 1024;
 
+/// Maximum size of the body of an error response to a request that may be repeated, in bytes.
+///
+/// These responses are buffered, because another target may respond without an error. A longer one
+/// counts as invalid: a failing target may send bytes without end.
+const ERROR_BODY_LIMIT_BYTES: usize = 256 * 1024;
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum Outcome {
@@ -388,6 +393,7 @@
     async fn collect_error(&self, state: &State, response: TargetResponse) -> Outcome {
         let TargetResponse { connection, metadata, status, headers, body, .. } = response;
         let WatchedConnection { pooled, mut watch } = connection;
+        let body = Limited::new(body, ERROR_BODY_LIMIT_BYTES);
         let body =
             match self.wait_for(state, &mut watch, self.time_left(state), body.collect()).await {
                 Ok(Ok(body)) => body,
