test(standin): close the listener of a crashed target first

A process that ends closes its listener, which was opened first, before its connections. Change: Server::kill waits until the listener is closed. Checks and bounds as before.

--- a/crates/cornelpass-standin/src/http.rs
+++ b/crates/cornelpass-standin/src/http.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
 
 /// Body of a response.
 pub type Body = BoxBody<Bytes, io::Error>;
@@ -21,6 +22,8 @@
 pub struct Server {
     address: SocketAddr,
     runtime: Option<Runtime>,
+    /// Task that accepts connections.
+    accepting: JoinHandle<()>,
 }
 
 impl Server {
@@ -39,7 +42,7 @@
         listener.set_nonblocking(true)?;
         let mut builder = tokio::runtime::Builder::new_multi_thread();
         let runtime = builder.worker_threads(2).enable_all().build()?;
-        runtime.spawn(async move {
+        let accepting = runtime.spawn(async move {
             let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
             loop {
                 let Ok((stream, _)) = listener.accept().await else { continue };
@@ -53,7 +56,19 @@
                 });
             }
         });
-        Ok(Self { address, runtime: Some(runtime) })
+        Ok(Self { address, runtime: Some(runtime), accepting })
+    }
+
+    /// Closes the listener and then all connections, as the end of a process does.
+    ///
+    /// Must not be called from a task of an asynchronous runtime.
+    pub fn kill(mut self) {
+        self.accepting.abort();
+        if let Some(runtime) = self.runtime.take() {
+            // The listener is closed when the aborted task has ended.
+            let _ = runtime.block_on(&mut self.accepting);
+            runtime.shutdown_background();
+        }
     }
 
     /// Address that the server listens on.
