fix(router): order the platform's revisions over its restores

Callers saw, after a restore of the store from an older copy: requests at targets that leave, and in data centres that are out of service. Cause: a revision was taken for unique; after a restore the numbers go back and are given out again, so that changes were missed or ignored as old. The router's own row and notes were written once.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -38,6 +38,7 @@
 use crate::quarantine::feature::Feature;
 use crate::report::{self, Departure, Entry, Report};
 use crate::request::RetrySafety;
+use crate::revision::Revision;
 
 /// Time after the platform becomes reachable again, within which targets rewrite the rows that
 /// expired during the outage.
@@ -150,6 +151,17 @@
             || self.availability.is_leaving()
     }
 
+    /// Whether a row from the copy that the platform was restored from lists the target as if it had
+    /// not left, although the row was removed or leaving in an earlier era.
+    ///
+    /// The next row of a target that is still running is of the same era as this one and counts.
+    fn has_left_before(&self, row: &Row, revision: u64) -> bool {
+        let is_restored = Revision::unpack(revision).era > Revision::unpack(self.revision).era;
+        let same_start = self.row.started_ms == row.started_ms;
+        let has_left = self.missing_since.is_some() || self.row.state == State::Leaving;
+        is_restored && same_start && has_left
+    }
+
     /// Whether a row states a later start time than the known row.
     fn is_later_start(&self, row: &Row) -> bool {
         self.row.started_ms.zip(row.started_ms).is_some_and(|(known, reported)| reported > known)
@@ -311,6 +323,16 @@
         match self.records.get_mut(name) {
             Some(record) if record.revision >= revision => false,
             Some(record) => {
+                let row = if record.has_left_before(&row, revision) {
+                    // The restored copy is from before the target left.
+                    record.revision = revision;
+                    if record.missing_since.is_some() {
+                        return false;
+                    }
+                    Row { state: State::Leaving, ..row }
+                } else {
+                    row
+                };
                 let start_changed = record.row.started_ms != row.started_ms;
                 let changed = !record.row.is_equivalent(&row) || record.missing_since.is_some();
                 // Only a later start revokes the target's announcements: a row without a start time
--- a/crates/cornelpass-core/src/lib.rs
+++ b/crates/cornelpass-core/src/lib.rs
@@ -46,6 +46,7 @@
 //! - [`peers`], [`report`] and [`datagram`]: reports and messages between routers;
 //! - [`history`] and [`budget`]: what follows a failed attempt;
 //! - [`quarantine`]: requests that crash targets;
+//! - [`revision`]: order of the platform's revisions over its restores;
 //! - [`events`]: complete events of the streams that targets send.
 //!
 //! Both interfaces use [`placement`], [`refusal`], [`digest`] and [`clock`]. The chat interface
@@ -82,6 +83,7 @@
 pub mod report;
 pub mod request;
 pub mod retry;
+pub mod revision;
 pub mod route;
 pub mod stream;
 pub mod table;
--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -58,6 +58,8 @@
     NoteUnreadable = 206,
     /// The set of data centres out of service has changed.
     DataCentresOut = 207,
+    /// The platform was restored from an older copy.
+    PlatformRestored = 208,
     /// A connection to the sidecar of a target was opened.
     LinkOpened = 300,
     /// A connection to the sidecar of a target was lost, or no data arrives on it.
@@ -146,6 +148,7 @@
             | Self::AccountantSilent
             | Self::PeerUnreadable
             | Self::NoteUnreadable
+            | Self::PlatformRestored
             | Self::AnswerCut
             | Self::TargetRestarted
             | Self::TargetLost
--- a/crates/cornelpass-operator/src/metrics/gateway.rs
+++ b/crates/cornelpass-operator/src/metrics/gateway.rs
@@ -76,6 +76,7 @@
     retries: Counter<u64>,
     crashes: Counter<u64>,
     platform_calls: Counter<u64>,
+    restores: Counter<u64>,
     datagrams: Counter<u64>,
     datagram_bytes: Counter<u64>,
     question_time: Histogram<f64>,
@@ -89,9 +90,27 @@
     open_requests: Gauge<u64>,
     open_files: Gauge<u64>,
     memory: Gauge<u64>,
-    config_age: Gauge<f64>,
-    list_age: Gauge<f64>,
-    report_age: Gauge<f64>,
+    ages: Ages,
+}
+
+/// Ages of what a router knows.
+struct Ages {
+    config: Gauge<f64>,
+    list: Gauge<f64>,
+    reports: Gauge<f64>,
+}
+
+impl Ages {
+    fn new(instruments: &Instruments) -> Self {
+        let gauge = |name: &'static str, description: &'static str| {
+            instruments.time_gauge(name, description)
+        };
+        Self {
+            config: gauge("cornelpass_gateway_config_age", "Age of the configuration"),
+            list: gauge("cornelpass_gateway_list_age", "Age of the list of targets"),
+            reports: gauge("cornelpass_gateway_report_age", "Mean age of the reports"),
+        }
+    }
 }
 
 impl Metrics {
@@ -120,6 +139,10 @@
             ),
             platform_calls: instruments
                 .counter("cornelpass_platform_calls", "Calls to the platform"),
+            restores: instruments.counter(
+                "cornelpass_platform_restores",
+                "Restores of the platform from an older copy",
+            ),
             datagrams: instruments.counter("cornelpass_datagrams", "Datagrams to other routers"),
             datagram_bytes: instruments.counter("cornelpass_datagram_bytes", "Bytes of them"),
             question_time: time_histogram(
@@ -151,12 +174,7 @@
                 .gauge("cornelpass_gateway_open_requests", "Requests in progress"),
             open_files: instruments.gauge("cornelpass_open_files", "Open files and connections"),
             memory: instruments.gauge("cornelpass_memory_bytes", "Resident memory"),
-            config_age: instruments
-                .time_gauge("cornelpass_gateway_config_age", "Age of the configuration"),
-            list_age: instruments
-                .time_gauge("cornelpass_gateway_list_age", "Age of the list of targets"),
-            report_age: instruments
-                .time_gauge("cornelpass_gateway_report_age", "Mean age of the reports"),
+            ages: Ages::new(&instruments),
             routes: Names::default(),
             targets: Names::default(),
             instruments,
@@ -203,6 +221,11 @@
         self.platform_calls.add(1, &labels);
     }
 
+    /// Counts a restore of the platform from an older copy.
+    pub fn count_restore(&self) {
+        self.restores.add(1, &[]);
+    }
+
     /// Counts a datagram to another router and the bytes of its content.
     pub fn count_datagram(&self, kind: &'static str, bytes: usize) {
         let labels = [KeyValue::new("kind", kind)];
@@ -270,9 +293,9 @@
     /// Sets the ages of the configuration and of the list of targets, and the mean age of the
     /// reports of other routers.
     pub fn set_ages(&self, config: Duration, list: Duration, reports: Duration) {
-        self.config_age.record(config.as_secs_f64(), &[]);
-        self.list_age.record(list.as_secs_f64(), &[]);
-        self.report_age.record(reports.as_secs_f64(), &[]);
+        self.ages.config.record(config.as_secs_f64(), &[]);
+        self.ages.list.record(list.as_secs_f64(), &[]);
+        self.ages.reports.record(reports.as_secs_f64(), &[]);
     }
 
     /// Formats all metrics as text.
--- a/crates/cornelpass-operator/tests/catalogue.rs
+++ b/crates/cornelpass-operator/tests/catalogue.rs
@@ -46,6 +46,7 @@
     metrics.count_attempt("t", "answered");
     metrics.count_retry(refusal::Reason::TargetLost);
     metrics.count_crash("t");
+    metrics.count_restore();
     metrics.set_quarantined_groups(1);
     metrics.count_platform_call("read", "answered");
     metrics.set_retry_budget("s", 3);
--- a/crates/cornelpass-router/src/gateway.rs
+++ b/crates/cornelpass-router/src/gateway.rs
@@ -18,6 +18,7 @@
 pub mod accounting;
 pub mod attempt;
 pub mod cache_note;
+pub mod closed;
 pub mod console;
 pub mod crash_check;
 pub mod feed_counter;
--- a/crates/cornelpass-router/src/gateway/cache_note.rs
+++ b/crates/cornelpass-router/src/gateway/cache_note.rs
@@ -46,8 +46,13 @@
             Vec::new()
         }
     };
+    let mut era = state.era();
     loop {
         sleep(CHECK_INTERVAL).await;
+        if std::mem::replace(&mut era, state.era()) != era {
+            // The note may be missing from the copy that the platform was restored from.
+            last_written.clear();
+        }
         let now = state.clock.now();
         let cache_entries = {
             let mut fleet = state.fleet();
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -114,11 +114,12 @@
 fn apply_report(state: &State, address: SocketAddr, report: Report) {
     let now = state.clock.now();
     let version = report.version;
-    state.record_peer_operator_revision(report.operator_revision);
+    let operator_revision = report.operator_revision;
     let (effect, departed) = {
         let mut fleet = state.fleet();
         (fleet.apply_report(now, address, report), fleet.take_peer_departures())
     };
+    state.record_peer_operator_revision(operator_revision);
     state.log_listing_changes();
     for target in departed {
         log!(Code::TargetLeaves, target, told_by = %address);
@@ -140,13 +141,15 @@
     loop {
         state.wait_until_snapshot_due().await;
         sleep(PLATFORM_GRACE).await;
-        let own_revision = state.operator_revision();
+        let (own_revision, own_version) = (state.operator_revision(), state.config_version());
         let now = state.clock.now();
         let routers_with_newer_rows: Vec<SocketAddr> = state
             .fleet()
             .peers()
             .live_reports_with_age(now)
-            .filter(|(_, _, report)| report.operator_revision > own_revision)
+            .filter(|(_, _, report)| {
+                report.operator_revision > own_revision || report.version > own_version
+            })
             .map(|(address, ..)| address)
             .collect();
         for address in routers_with_newer_rows {
@@ -190,13 +193,15 @@
         body_bytes: MAX_SNAPSHOT_BYTES,
     };
     match buffered::exchange(address, request, limits).await {
-        Ok((StatusCode::OK, body)) => match serde_json::from_slice(&body) {
-            Ok(snapshot) => Some(snapshot),
-            Err(error) => {
-                log!(Code::PeerUnreadable, router = %address, %error);
-                None
+        Ok(response) if response.status() == StatusCode::OK => {
+            match serde_json::from_slice(response.body()) {
+                Ok(snapshot) => Some(snapshot),
+                Err(error) => {
+                    log!(Code::PeerUnreadable, router = %address, %error);
+                    None
+                }
             }
-        },
+        }
         // The other router has no configuration yet.
         Ok(_) => None,
         Err(error) => {
--- a/crates/cornelpass-router/src/gateway/platform_sync.rs
+++ b/crates/cornelpass-router/src/gateway/platform_sync.rs
@@ -78,6 +78,9 @@
 /// Time between two decisions whether to poll the targets.
 const POLL_DECISION_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time over which the routers write their rows again after a restore of the platform.
+const REGISTER_SPREAD: Duration = Duration::from_secs(2);
+
 /// Pause after a failed registration; the other routers also know this router from its reports.
 const REGISTER_RETRY_PAUSE: Duration = Duration::from_secs(2);
 
@@ -113,6 +116,7 @@
         match response {
             Ok((Changes::Page(page), complete)) => {
                 progress.revision = Some(page.revision);
+                state.record_platform_revision(page.revision);
                 // Other routers rely on the pollers. A poller that got no changes calls again at
                 // once: the call waits at the platform.
                 let poller_without_changes = page.rows.is_empty() && is_poller(&state);
@@ -302,6 +306,7 @@
             }
             Record::DataCentreOpened(data_centre) => {
                 closed_data_centres.remove(&data_centre);
+                state.open_data_centre(&data_centre);
             }
             Record::Target(name, row) => {
                 state.fleet().apply_platform_row(now, &name, Some(row), topic_row.revision)
@@ -331,10 +336,15 @@
     }
 }
 
-/// Writes this router's row, and repeats the call until it succeeds.
+/// Writes this router's row, and writes it again after each restore of the platform.
 pub async fn register(state: Arc<State>, feed: Arc<dyn Feed>, address: SocketAddr) {
-    while let Err(error) = feed.register(&state.name, address, RESPONSE_TIMEOUT).await {
-        log!(Code::PlatformUnreachable, call = "register", %error);
-        sleep(REGISTER_RETRY_PAUSE).await;
+    loop {
+        let era = state.era();
+        while let Err(error) = feed.register(&state.name, address, RESPONSE_TIMEOUT).await {
+            log!(Code::PlatformUnreachable, call = "register", %error);
+            sleep(REGISTER_RETRY_PAUSE).await;
+        }
+        state.wait_for_era_after(era).await;
+        sleep(REGISTER_SPREAD.mul_f64(rand::random())).await;
     }
 }
--- a/crates/cornelpass-router/src/gateway/quarantine_note.rs
+++ b/crates/cornelpass-router/src/gateway/quarantine_note.rs
@@ -42,8 +42,13 @@
 /// that writes notes.
 pub async fn run(state: Arc<State>, feed: Arc<dyn Feed>) {
     let mut stored = read(&state, &*feed).await;
+    let mut era = state.era();
     loop {
         sleep(CHECK_INTERVAL).await;
+        if std::mem::replace(&mut era, state.era()) != era {
+            // The note may be missing from the copy that the platform was restored from.
+            stored = stored.map(|_| Vec::new());
+        }
         let now = state.clock.now();
         let (available, writes, groups) = {
             let mut fleet = state.fleet();
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use cornelpass_core::gateway_config::Config;
 use cornelpass_core::quarantine::{Change, feature};
 use cornelpass_core::report::{self, Report};
+use cornelpass_core::revision::Revision;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
 use cornelpass_operator::metrics::gateway::Metrics;
@@ -23,10 +24,18 @@
 use cornelpass_target::pool::Pool;
 use cornelpass_target::protocol::Protocol;
 use tokio::sync::{Notify, watch};
+use tokio::time::sleep;
 
 use super::accounting::Client;
+use super::closed::ClosedDataCentres;
 use super::silence::Losses;
 
+/// Time after a restore of the platform for which data centres stay out of service without an order.
+///
+/// The operators repeat their orders within the time in which routers catch up with the platform,
+/// four seconds at least.
+const RESTORE_GRACE: Duration = Duration::from_secs(4);
+
 /// State of a gateway.
 pub struct State {
     /// Name of the instance.
@@ -61,6 +70,11 @@
     operator_revision: AtomicU64,
     /// Highest revision of the operators' rows that another router has reported.
     peer_operator_revision: AtomicU64,
+    /// Number of restores of the platform, and whether any response has stated it.
+    era: watch::Sender<u64>,
+    era_known: AtomicBool,
+    /// Data centres out of service.
+    closed: ClosedDataCentres,
     /// Notified when another router has newer rows, so that a call that waits at the platform is
     /// soon repeated without a wait.
     poll_due: Notify,
@@ -133,6 +147,9 @@
             budgets: Mutex::new(ServiceBudgets::new(parameters)),
             operator_revision: AtomicU64::new(0),
             peer_operator_revision: AtomicU64::new(0),
+            era: watch::Sender::new(0),
+            era_known: AtomicBool::new(false),
+            closed: ClosedDataCentres::default(),
             poll_due: Notify::new(),
             snapshot_due: Notify::new(),
             report_requested: Notify::new(),
@@ -218,10 +235,58 @@
         self.operator_revision.load(Ordering::SeqCst)
     }
 
-    /// Whether another router has newer rows of the operators.
+    /// Version of the active configuration; 0 if there is none.
+    #[must_use]
+    pub fn config_version(&self) -> u64 {
+        self.config().map_or(0, |config| config.version)
+    }
+
+    /// Whether another router has newer rows of the operators, or a newer configuration.
+    ///
+    /// After a restore, the platform may have an older configuration than the one that is active in
+    /// other routers.
     #[must_use]
     pub fn has_newer_peer_rows(&self) -> bool {
+        let (own_version, now) = (self.config_version(), self.clock.now());
         self.peer_operator_revision.load(Ordering::SeqCst) > self.operator_revision()
+            || self.fleet().peers().live_reports(now).any(|report| report.version > own_version)
+    }
+
+    /// Number of restores of the platform, as far as this router knows.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        *self.era.borrow()
+    }
+
+    /// Waits until the platform has been restored since an era.
+    pub async fn wait_for_era_after(&self, era: u64) {
+        // The sender lives as long as this state, so `wait_for` does not fail.
+        let _ = self.era.subscribe().wait_for(|current| *current > era).await;
+    }
+
+    /// Records the revision of a response of the platform; detects restores.
+    ///
+    /// After a restore, the data centres that were out of service stay so for [`RESTORE_GRACE`],
+    /// because the operators' order may be missing from the restored copy until they repeat it.
+    pub fn record_platform_revision(self: &Arc<Self>, packed: u64) {
+        let revision = Revision::unpack(packed);
+        let (before, first) = (self.era(), !self.era_known.swap(true, Ordering::SeqCst));
+        if revision.era <= before {
+            return;
+        }
+        if !first {
+            let closed = self.fleet().closed_data_centres().clone();
+            self.closed.keep(closed);
+            self.metrics.count_restore();
+            log!(Code::PlatformRestored, before, era = revision.era, revision = %revision);
+            let state = Arc::clone(self);
+            tokio::spawn(async move {
+                sleep(RESTORE_GRACE).await;
+                let closed = state.closed.end_grace();
+                state.apply_closed_data_centres(closed);
+            });
+        }
+        self.era.send_replace(revision.era);
     }
 
     /// Waits until another router reports newer rows of the operators; for the task that requests
@@ -262,8 +327,19 @@
         lock(&self.fleet)
     }
 
-    /// Sets the data centres that operators have taken out of service, and logs a change.
-    pub fn set_closed_data_centres(&self, closed_data_centres: BTreeSet<String>) {
+    /// Sets the data centres that the platform lists as out of service.
+    pub fn set_closed_data_centres(&self, listed: BTreeSet<String>) {
+        let closed = self.closed.set_listed(listed);
+        self.apply_closed_data_centres(closed);
+    }
+
+    /// Records that the operators have brought a data centre back into service.
+    pub fn open_data_centre(&self, data_centre: &str) {
+        self.closed.remove_kept(data_centre);
+    }
+
+    /// Takes data centres out of service, and logs a change.
+    fn apply_closed_data_centres(&self, closed_data_centres: BTreeSet<String>) {
         let names = closed_data_centres.iter().map(String::as_str).collect::<Vec<_>>().join(",");
         if self.fleet().set_closed_data_centres(closed_data_centres) {
             log!(Code::DataCentresOut, out = names);
@@ -276,7 +352,8 @@
         for ListingChange { target, listing, revision, reported_by } in changes {
             let reported_by =
                 reported_by.map_or("platform".to_owned(), |router| router.to_string());
-            log!(Code::TargetListed, target, %listing, revision, told_by = reported_by);
+            let revision = Revision::unpack(revision);
+            log!(Code::TargetListed, target, %listing, %revision, told_by = reported_by);
         }
     }
 
--- a/crates/cornelpass-target/src/buffered.rs
+++ b/crates/cornelpass-target/src/buffered.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response};
 use tokio::time::timeout;
 
 use crate::connection::Connection;
@@ -33,7 +33,7 @@
     pub body_bytes: usize,
 }
 
-/// Sends a request on a new connection and returns the status and the complete body.
+/// Sends a request on a new connection and returns the response with its complete body.
 ///
 /// # Errors
 ///
@@ -44,7 +44,7 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     limits: Limits,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<Response<Bytes>, Error> {
     let lost = |detail: &str| Error::Lost { detail: detail.to_owned() };
     let receive_head = async {
         let connection =
@@ -54,12 +54,12 @@
     let response = timeout(limits.head_timeout, receive_head)
         .await
         .map_err(|_| lost(&format!("no response head within {:?}", limits.head_timeout)))??;
-    let status = response.status();
-    let body = timeout(BODY_TIMEOUT, collect(response.into_body(), limits));
+    let (head, body) = response.into_parts();
+    let body = timeout(BODY_TIMEOUT, collect(body, limits));
     let body = body
         .await
         .map_err(|_| lost(&format!("response body incomplete after {BODY_TIMEOUT:?}")))??;
-    Ok((status, body))
+    Ok(Response::from_parts(head, body))
 }
 
 async fn collect(mut body: Incoming, limits: Limits) -> Result<Bytes, Error> {
--- a/crates/cornelpass-target/tests/connection.rs
+++ b/crates/cornelpass-target/tests/connection.rs
@@ -215,7 +215,8 @@
 ) -> Result<(hyper::StatusCode, bytes::Bytes), Error> {
     let request = hyper::Request::get("/").body(http_body_util::Full::default()).unwrap();
     let runtime = tokio::runtime::Runtime::new().unwrap();
-    runtime.block_on(buffered::exchange(listener.address, request, limits))
+    let response = runtime.block_on(buffered::exchange(listener.address, request, limits))?;
+    Ok((response.status(), response.into_body()))
 }
 
 #[test]
