fix(router): write the router's row again only after a restore that it has seen

Cause: a router that starts on a platform that was restored before took the era of its first response for a restore, and wrote its row twice. Change: the first response only shows the era. The search for old entries of responses in the evidence is also spread, as it could follow each response while most of them are recent.

--- a/crates/cornelpass-core/src/quarantine/evidence.rs
+++ b/crates/cornelpass-core/src/quarantine/evidence.rs
@@ -22,7 +22,7 @@
 /// Time for which a crash is kept.
 const CRASH_LIFETIME: Duration = Duration::from_secs(600);
 
-/// Number of features with a known response above which old ones are dropped.
+/// Smallest number of features with a known response at which old ones are dropped.
 const RESPONSE_CAPACITY: usize = 512;
 
 /// Time for which a response with a feature that was in no crash is kept: longer than the news of a
@@ -52,6 +52,8 @@
     counts: BTreeMap<Feature, usize>,
     /// Last complete response to a request with each feature.
     responses: BTreeMap<Feature, Instant>,
+    /// Number of entries in `responses` at which old ones are dropped.
+    response_limit: usize,
 }
 
 impl Evidence {
@@ -95,12 +97,14 @@
 
     /// Records a complete response to a request with a feature.
     pub fn record_response(&mut self, now: Instant, feature: Feature, at: Instant) {
-        if self.responses.len() >= RESPONSE_CAPACITY {
+        if self.responses.len() >= self.response_limit {
             let counts = &self.counts;
             self.responses.retain(|feature, at| {
                 counts.contains_key(feature)
                     || now.saturating_duration_since(*at) < RESPONSE_LIFETIME
             });
+            // If most of them are recent, the next search must not follow at once.
+            self.response_limit = RESPONSE_CAPACITY.max(2 * self.responses.len());
         }
         let last = self.responses.entry(feature).or_insert(at);
         *last = at.max(*last);
--- a/crates/cornelpass-router/src/gateway/cache_note.rs
+++ b/crates/cornelpass-router/src/gateway/cache_note.rs
@@ -46,10 +46,11 @@
             Vec::new()
         }
     };
-    let mut era = state.era();
+    let mut restores = state.restore_count();
     loop {
         sleep(CHECK_INTERVAL).await;
-        if std::mem::replace(&mut era, state.era()) != era {
+        let known_restores = std::mem::replace(&mut restores, state.restore_count());
+        if known_restores != restores {
             // The note may be missing from the copy that the platform was restored from.
             last_written.clear();
         }
--- a/crates/cornelpass-router/src/gateway/platform_sync.rs
+++ b/crates/cornelpass-router/src/gateway/platform_sync.rs
@@ -339,12 +339,12 @@
 /// Writes this router's row, and writes it again after each restore of the platform.
 pub async fn register(state: Arc<State>, feed: Arc<dyn Feed>, address: SocketAddr) {
     loop {
-        let era = state.era();
+        let restores = state.restore_count();
         while let Err(error) = feed.register(&state.name, address, RESPONSE_TIMEOUT).await {
             log!(Code::PlatformUnreachable, call = "register", %error);
             sleep(REGISTER_RETRY_PAUSE).await;
         }
-        state.wait_for_era_after(era).await;
+        state.wait_for_restore_after(restores).await;
         sleep(REGISTER_SPREAD.mul_f64(rand::random())).await;
     }
 }
--- a/crates/cornelpass-router/src/gateway/quarantine_note.rs
+++ b/crates/cornelpass-router/src/gateway/quarantine_note.rs
@@ -42,10 +42,11 @@
 /// that writes notes.
 pub async fn run(state: Arc<State>, feed: Arc<dyn Feed>) {
     let mut stored = read(&state, &*feed).await;
-    let mut era = state.era();
+    let mut restores = state.restore_count();
     loop {
         sleep(CHECK_INTERVAL).await;
-        if std::mem::replace(&mut era, state.era()) != era {
+        let known_restores = std::mem::replace(&mut restores, state.restore_count());
+        if known_restores != restores {
             // The note may be missing from the copy that the platform was restored from.
             stored = stored.map(|_| Vec::new());
         }
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -70,9 +70,10 @@
     operator_revision: AtomicU64,
     /// Highest revision of the operators' rows that another router has reported.
     peer_operator_revision: AtomicU64,
-    /// Number of restores of the platform, and whether any response has stated it.
-    era: watch::Sender<u64>,
-    era_known: AtomicBool,
+    /// Era of the platform; none before the first response.
+    era: Mutex<Option<u64>>,
+    /// Number of restores of the platform that this router has detected.
+    restore_count: watch::Sender<u64>,
     /// Data centres out of service.
     closed: ClosedDataCentres,
     /// Notified when another router has newer rows, so that a call that waits at the platform is
@@ -147,8 +148,8 @@
             budgets: Mutex::new(ServiceBudgets::new(parameters)),
             operator_revision: AtomicU64::new(0),
             peer_operator_revision: AtomicU64::new(0),
-            era: watch::Sender::new(0),
-            era_known: AtomicBool::new(false),
+            era: Mutex::new(None),
+            restore_count: watch::Sender::new(0),
             closed: ClosedDataCentres::default(),
             poll_due: Notify::new(),
             snapshot_due: Notify::new(),
@@ -252,16 +253,16 @@
             || self.fleet().peers().live_reports(now).any(|report| report.version > own_version)
     }
 
-    /// Number of restores of the platform, as far as this router knows.
+    /// Number of restores of the platform that this router has detected.
     #[must_use]
-    pub fn era(&self) -> u64 {
-        *self.era.borrow()
+    pub fn restore_count(&self) -> u64 {
+        *self.restore_count.borrow()
     }
 
-    /// Waits until the platform has been restored since an era.
-    pub async fn wait_for_era_after(&self, era: u64) {
+    /// Waits until this router has detected more than `count` restores of the platform.
+    pub async fn wait_for_restore_after(&self, count: u64) {
         // The sender lives as long as this state, so `wait_for` does not fail.
-        let _ = self.era.subscribe().wait_for(|current| *current > era).await;
+        let _ = self.restore_count.subscribe().wait_for(|current| *current > count).await;
     }
 
     /// Records the revision of a response of the platform; detects restores.
@@ -270,23 +271,25 @@
     /// because the operators' order may be missing from the restored copy until they repeat it.
     pub fn record_platform_revision(self: &Arc<Self>, packed: u64) {
         let revision = Revision::unpack(packed);
-        let (before, first) = (self.era(), !self.era_known.swap(true, Ordering::SeqCst));
-        if revision.era <= before {
-            return;
-        }
-        if !first {
-            let closed = self.fleet().closed_data_centres().clone();
-            self.closed.keep(closed);
-            self.metrics.count_restore();
-            log!(Code::PlatformRestored, before, era = revision.era, revision = %revision);
-            let state = Arc::clone(self);
-            tokio::spawn(async move {
-                sleep(RESTORE_GRACE).await;
-                let closed = state.closed.end_grace();
-                state.apply_closed_data_centres(closed);
-            });
-        }
-        self.era.send_replace(revision.era);
+        let before = {
+            let mut era = lock(&self.era);
+            let before = *era;
+            *era = before.max(Some(revision.era));
+            before
+        };
+        // The first response shows the era, but not whether it has changed.
+        let Some(before) = before.filter(|before| *before < revision.era) else { return };
+        let closed = self.fleet().closed_data_centres().clone();
+        self.closed.keep(closed);
+        self.metrics.count_restore();
+        log!(Code::PlatformRestored, before, era = revision.era, revision = %revision);
+        self.restore_count.send_modify(|count| *count += 1);
+        let state = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(RESTORE_GRACE).await;
+            let closed = state.closed.end_grace();
+            state.apply_closed_data_centres(closed);
+        });
     }
 
     /// Waits until another router reports newer rows of the operators; for the task that requests
