--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -267,8 +267,8 @@
 
     /// Records the revision of a response of the platform; detects restores.
     ///
-    /// After a restore, the data centres that were out of service stay so for [`RESTORE_GRACE`],
-    /// because the operators' order may be missing from the restored copy until they repeat it.
+    /// After a restore, the data centres that were out of service stay so for some seconds, because
+    /// the operators' order may be missing from the restored copy until they repeat it.
     pub fn record_platform_revision(self: &Arc<Self>, packed: u64) {
         let revision = Revision::unpack(packed);
         let before = {
