--- a/review/standin/src/target.rs
+++ b/review/standin/src/target.rs
@@ -71,7 +71,7 @@
         let Self { service, zone, address, born_ms, .. } = self;
         format!(
             "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
-             \"Version\":1,\"Slots\":64,\"State\":\"{state}\",\"ColdLeftMs\":0,\"Sequence\":1,\
+             \"Version\":\"v1\",\"Slots\":64,\"State\":\"{state}\",\"ColdLeftMs\":0,\"Sequence\":1,\
              \"born\":{born_ms}}}"
         )
     }
