fix(router): end calls that rely on announcements once no poller is heard

Cause: the wait of a call was decided when it started, when the pollers announced all changes. Nothing ended it when no router announced them any more.

Change: such a call ends when its router becomes a poller, or has heard no poller for as long as a poller's own call waits, and is repeated without a wait. The age of the announcements counts, not only the takeover, which comes after three quarters of bounds.drain and may be later than bounds.config. Event 209 shows it. Other calls with long waits: only the one for the rows of the routers, whose changes reports carry as well.

--- a/crates/cornelpass-core/src/fleet/polling.rs
+++ b/crates/cornelpass-core/src/fleet/polling.rs
@@ -15,7 +15,7 @@
 
 use crate::fleet::{Fleet, Row};
 use crate::peers::Peers;
-use crate::report::{self, Change, Entry, MAX_AGE_MS, MAX_CHANGES_SIZE, Span};
+use crate::report::{self, Change, Entry, MAX_AGE_MS, MAX_CHANGES_SIZE, Report, Span};
 
 /// Number of pollers.
 ///
@@ -245,6 +245,17 @@
         self.pollers_before(now) == 0
     }
 
+    /// Whether this router may rely on the announcements of other routers: it is no poller, and the
+    /// last report of a poller arrived within `silence`.
+    #[must_use]
+    pub fn relies_on_announcements(&self, now: Instant, silence: Duration) -> bool {
+        let max_age = self.max_poll_age(now);
+        let mut reports = self.peers.all_reports_with_age(now);
+        let is_heard = reports
+            .any(|(_, age, report)| age <= silence && is_poller_report(age, report, max_age));
+        is_heard && !self.is_poller(now)
+    }
+
     /// Number of pollers whose addresses sort before this router's.
     fn pollers_before(&self, now: Instant) -> usize {
         let max_age = self.max_poll_age(now);
@@ -335,9 +346,14 @@
 
 /// Number of pollers whose addresses sort before `own`.
 fn pollers_before(now: Instant, own: SocketAddr, peers: &Peers, max_age: Duration) -> usize {
-    let pollers = peers.all_reports_with_age(now).filter(|(address, age, report)| {
-        let age = *age + Duration::from_millis(u64::from(report.listed_ms));
-        *address < own && report.span.is_some() && age <= max_age && !report.leaving
-    });
-    pollers.count()
+    let reports = peers.all_reports_with_age(now);
+    reports
+        .filter(|(address, age, report)| *address < own && is_poller_report(*age, report, max_age))
+        .count()
+}
+
+/// Whether a report that arrived `age` ago shows that its sender is a poller.
+fn is_poller_report(age: Duration, report: &Report, max_age: Duration) -> bool {
+    let response_age = age + Duration::from_millis(u64::from(report.listed_ms));
+    report.span.is_some() && response_age <= max_age && !report.leaving
 }
--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -60,6 +60,9 @@
     DataCentresOut = 207,
     /// The platform was restored from an older copy.
     PlatformRestored = 208,
+    /// A call to the platform that relied on the announcements of other routers was repeated,
+    /// because no router announces changes any more.
+    PlatformCallRenewed = 209,
     /// A connection to the sidecar of a target was opened.
     LinkOpened = 300,
     /// A connection to the sidecar of a target was lost, or no data arrives on it.
--- a/crates/cornelpass-router/src/gateway/platform_sync.rs
+++ b/crates/cornelpass-router/src/gateway/platform_sync.rs
@@ -7,6 +7,8 @@
 //!
 //! Other routers announce changes as well. Only pollers ([`cornelpass_core::fleet::polling`]) poll
 //! the targets at short intervals, and the calls of other routers for operators' rows wait longer.
+//! The connection of such a call may be lost silently, so the call is repeated as soon as this
+//! router hears no poller, or becomes one.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -27,7 +29,8 @@
 /// `Requirements::config`.
 ///
 /// `Requirements::config` is the time within which a new configuration must be active. A connection
-/// that has failed silently is detected only after this wait.
+/// that has failed silently is detected only after this wait. Other routers hear no poller if none
+/// has reported for as long.
 const POLL_WAIT_FRACTION: f64 = 0.5;
 
 /// Longest wait of a call for changes that other routers also announce.
@@ -75,7 +78,8 @@
 /// also announces itself to the other routers by its reports.
 const ROUTERS_PAUSE: Duration = Duration::from_secs(2);
 
-/// Time between two decisions whether to poll the targets.
+/// Time between two decisions whether to poll the targets, and between two checks whether other
+/// routers still announce changes.
 const POLL_DECISION_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time over which the routers write their rows again after a restore of the platform.
@@ -197,8 +201,8 @@
 /// Reads all rows of a topic, or the changes after the known revision.
 ///
 /// Returns the rows, and whether they are all rows of the topic. Returns `None` if the call was
-/// cancelled because another router has newer rows. The next call then does not wait and is not
-/// cancelled, however many reports arrive.
+/// cancelled because another router has newer rows, or because no other router announces them any
+/// more. The next call then does not wait and is not cancelled, however many reports arrive.
 async fn call(
     state: &State,
     feed: &dyn Feed,
@@ -219,20 +223,41 @@
             progress.skip_wait = true;
             return None;
         }
+        () = wait_until_unannounced(state, requirements),
+            if topic == Topic::Operators && wait == ANNOUNCED_WAIT =>
+        {
+            log!(Code::PlatformCallRenewed, topic = <&str>::from(topic), revision = since);
+            progress.skip_wait = true;
+            return None;
+        }
     };
     Some(changes.map(|changes| (changes, false)))
 }
 
+/// Whether other routers announce the changes of the operators' rows to this router.
+fn has_announcements(state: &State, requirements: &Requirements) -> bool {
+    let silence = requirements.config.mul_f64(POLL_WAIT_FRACTION);
+    state.fleet().relies_on_announcements(state.clock.now(), silence)
+}
+
+/// Returns when other routers no longer announce the changes of the operators' rows.
+async fn wait_until_unannounced(state: &State, requirements: &Requirements) {
+    while has_announcements(state, requirements) {
+        sleep(POLL_DECISION_INTERVAL).await;
+    }
+}
+
 fn is_poller(state: &State) -> bool {
     state.fleet().is_poller(state.clock.now())
 }
 
 /// Time for which a call waits at the platform for the first change.
 fn call_wait(state: &State, topic: Topic, requirements: &Requirements) -> Duration {
-    let poller = is_poller(state);
     match topic {
-        Topic::Operators if poller => requirements.config.mul_f64(POLL_WAIT_FRACTION),
-        Topic::Targets if poller => state.fleet().poll_times().poll_wait,
+        Topic::Operators if !has_announcements(state, requirements) => {
+            requirements.config.mul_f64(POLL_WAIT_FRACTION)
+        }
+        Topic::Targets if is_poller(state) => state.fleet().poll_times().poll_wait,
         Topic::Targets => Duration::ZERO,
         Topic::Operators | Topic::Routers => ANNOUNCED_WAIT,
     }
