fix(core): times from outside cannot overflow the clock

Cause: the sum of an instant and that time panics, which ended the task that follows the targets. The same sum stood at the time limits of routes and of chats.

That a task may end unnoticed is a fault of its own and comes next.

--- a/crates/cornelpass-caller/src/gateway.rs
+++ b/crates/cornelpass-caller/src/gateway.rs
@@ -13,11 +13,11 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cornelpass_core::digest;
 use cornelpass_core::gateway_config::{Config, Limits};
 use cornelpass_core::refusal::{Execution, Reason};
 use cornelpass_core::request::{self, Prompt};
 use cornelpass_core::route::{Match, Route};
+use cornelpass_core::{clock, digest};
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, Empty, Full, StreamBody};
 use hyper::body::Frame as BodyFrame;
@@ -178,7 +178,7 @@
             prompt,
             digest,
             arrived_at,
-            deadline: arrived_at + timeout,
+            deadline: clock::after(arrived_at, timeout),
             desired_latency: route.desired_latency,
             desired_event_gap: route.desired_event_gap,
         };
--- a/crates/cornelpass-core/src/clock.rs
+++ b/crates/cornelpass-core/src/clock.rs
@@ -3,6 +3,17 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant, SystemTime};
 
+/// Longest time that [`after`] adds: a year.
+///
+/// Durations come from rows and messages of others, and a sum over the range of [`Instant`] panics.
+pub const MAX_TIMER: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
+/// Time `duration` after `now`; a duration over [`MAX_TIMER`] counts as that.
+#[must_use]
+pub fn after(now: Instant, duration: Duration) -> Instant {
+    now + duration.min(MAX_TIMER)
+}
+
 /// Source of time.
 pub trait Clock: Send + Sync {
     /// Monotonic time.
--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -33,6 +33,7 @@
 use crate::accounting::accountant::Accountants;
 use crate::accounting::aggregator::Aggregator;
 use crate::accounting::message::Stamp;
+use crate::clock;
 use crate::peers::{Effect, Peers};
 use crate::quarantine::Quarantine;
 use crate::quarantine::feature::Feature;
@@ -319,7 +320,7 @@
     ///
     /// Returns whether anything about the target changed.
     pub fn apply_row(&mut self, now: Instant, name: &str, row: Row, revision: u64) -> bool {
-        let cold_until = (!row.cold_left.is_zero()).then(|| now + row.cold_left);
+        let cold_until = (!row.cold_left.is_zero()).then(|| clock::after(now, row.cold_left));
         match self.records.get_mut(name) {
             Some(record) if record.revision >= revision => false,
             Some(record) => {
--- a/crates/cornelpass-router/src/chats/response.rs
+++ b/crates/cornelpass-router/src/chats/response.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cornelpass_caller::event::{Event, Id};
+use cornelpass_core::clock;
 use cornelpass_core::stream::{Action, Assembler};
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
@@ -59,7 +60,7 @@
             generated_text,
             started_at,
             last_piece_at,
-            deadline: started_at + time_limit,
+            deadline: clock::after(started_at, time_limit),
         }
     }
 
