fix(operator): restart background tasks that panic

Cause: background tasks were spawned and forgotten. Nothing logged that one had ended but the panic message on the standard error, and the process went on with what the task last knew.

Change: a supervisor logs a panic as event 106 and starts the task again. It runs the tasks of the gateway and the chat interface that live as long as the process, and the threads of routers and sidecars that follow the platform. The sequence number of reports moves from its task to the state, since other routers ignore reports with a number that they know.

--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -41,6 +41,8 @@
     Listed = 104,
     /// The process received SIGHUP: its settings have changed.
     Reloaded = 105,
+    /// A background task of the process has panicked and is started again.
+    TaskRestarted = 106,
     /// A configuration has become active.
     ConfigApplied = 200,
     /// The operators' rows do not pass the checks, the platform names a lower version than the
@@ -144,7 +146,7 @@
     #[must_use]
     pub const fn level(self) -> Level {
         match self {
-            Self::ListenFailed | Self::ConfigRejected => Level::ERROR,
+            Self::ListenFailed | Self::ConfigRejected | Self::TaskRestarted => Level::ERROR,
             Self::PlatformUnreachable
             | Self::LinkLost
             | Self::PeerLost
--- a/crates/cornelpass-operator/src/lib.rs
+++ b/crates/cornelpass-operator/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod process;
 pub mod settings;
 pub mod stop;
+pub mod supervisor;
 pub mod trace;
 pub mod writer;
--- a/crates/cornelpass-router/src/config.rs
+++ b/crates/cornelpass-router/src/config.rs
@@ -3,11 +3,10 @@
 //! The client of the platform blocks, so the polls run on a separate thread.
 
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use cornelpass_operator::event::Code;
-use cornelpass_operator::log;
+use cornelpass_operator::{log, supervisor};
 use cornelpass_platform::config::{Event, Follower};
 use flume::Receiver;
 
@@ -17,7 +16,7 @@
 ///
 /// `interval` is the time between two polls of a router that does not hold the acceptor lease.
 pub fn follow(state: Arc<State>, mut follower: Follower, interval: Duration, stop: Receiver<()>) {
-    thread::spawn(move || {
+    supervisor::spawn_thread("config", move || {
         let mut was_reachable = true;
         loop {
             let event = follower.poll();
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -53,8 +53,8 @@
 
 /// Sends reports to the other routers, until the process ends.
 pub async fn send_reports(state: Arc<State>) {
-    for sequence in 1.. {
-        let report = Datagram::Report(state.build_report(sequence));
+    loop {
+        let report = Datagram::Report(state.build_report());
         let others: Vec<SocketAddr> = state.fleet().peers().addresses().collect();
         // A lost report needs no repetition: the next report replaces it.
         let mut length = accounting::send_datagram(&state, &others, &report);
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -1,5 +1,6 @@
 //! Runs a gateway: starts its listeners and tasks from the settings, and stops it as planned.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use cornelpass_operator::metrics::gateway::Metrics;
 use cornelpass_operator::settings::gateway as settings;
 use cornelpass_operator::stop::{self, Reload};
+use cornelpass_operator::supervisor;
 use cornelpass_platform::feed::{Feed, Topic};
 use hyper::{Request, Response, StatusCode};
 use snafu::{ResultExt, Whatever};
@@ -107,17 +109,8 @@
     let readiness = bind("readiness", settings.listen.readiness).await?;
     let store = Box::new(Store::new(settings.platform));
     let feed: Arc<dyn Feed> = Arc::new(Counter::new(Arc::clone(&state), store));
-    for topic in [Topic::Operators, Topic::Targets, Topic::Routers] {
-        tokio::spawn(platform_sync::run(
-            Arc::clone(&state),
-            feed.clone(),
-            topic,
-            settings.requirements.clone(),
-        ));
-    }
-    tokio::spawn(cache_note::run(Arc::clone(&state), feed.clone()));
-    tokio::spawn(quarantine_note::run(Arc::clone(&state), feed.clone()));
-    tokio::spawn(silence::run(Arc::clone(&state)));
+    start_platform_tasks(&state, &feed, &settings.requirements);
+    supervise("silence", &state, silence::run);
     start_peer_tasks(&state, &settings, feed).await?;
     let readiness_responder = Arc::new(Readiness { state: Arc::clone(&state) });
     spawn_server(readiness, readiness_responder);
@@ -127,7 +120,10 @@
     let (limits_sender, limits) =
         watch::channel(caller_limits(&gateway_config::Limits::default(), settings.files));
     let reuse = settings.requirements.reuse;
-    tokio::spawn(run_maintenance(Arc::clone(&state), limits_sender, settings.files, reuse));
+    let files = settings.files;
+    supervise("maintenance", &state, move |state| {
+        run_maintenance(state, limits_sender.clone(), files, reuse)
+    });
     let relay = Arc::new(Relay::new(Arc::clone(&state)));
     let gateway = Arc::new(Gateway::new(Arc::new(caller::HeaderCodec), relay));
     let (stage, stages) = watch::channel(Stage::Serving);
@@ -154,6 +150,38 @@
     Ok(())
 }
 
+/// Starts a background task that is started again after a panic.
+fn supervise<T>(
+    name: &'static str,
+    state: &Arc<State>,
+    start: impl Fn(Arc<State>) -> T + Send + 'static,
+) where
+    T: Future<Output = ()> + Send + 'static,
+{
+    let state = Arc::clone(state);
+    supervisor::spawn(name, move || start(Arc::clone(&state)));
+}
+
+/// Starts the tasks that follow the platform and write the notes on it.
+fn start_platform_tasks(
+    state: &Arc<State>,
+    feed: &Arc<dyn Feed>,
+    requirements: &settings::Requirements,
+) {
+    for topic in [Topic::Operators, Topic::Targets, Topic::Routers] {
+        let (feed, requirements) = (Arc::clone(feed), requirements.clone());
+        supervise(topic.into(), state, move |state| {
+            platform_sync::run(state, Arc::clone(&feed), topic, requirements.clone())
+        });
+    }
+    let cache_feed = Arc::clone(feed);
+    supervise("cache_note", state, move |state| cache_note::run(state, Arc::clone(&cache_feed)));
+    let quarantine_feed = Arc::clone(feed);
+    supervise("quarantine_note", state, move |state| {
+        quarantine_note::run(state, Arc::clone(&quarantine_feed))
+    });
+}
+
 /// Starts the tasks that communicate with the other routers, and the registration on the platform.
 async fn start_peer_tasks(
     state: &Arc<State>,
@@ -172,11 +200,16 @@
         .with_whatever_context(|_| format!("cannot bind listen.reports {}", listen.reports))?;
     let socket = Arc::new(socket);
     state.accounting.set_socket(Arc::clone(&socket));
-    tokio::spawn(peers::receive_datagrams(Arc::clone(state), socket));
-    tokio::spawn(peers::send_reports(Arc::clone(state)));
-    tokio::spawn(accounting::run(Arc::clone(state)));
-    tokio::spawn(peers::request_snapshots(Arc::clone(state), listen.routers.port()));
-    tokio::spawn(platform_sync::register(Arc::clone(state), feed, listen.reports));
+    supervise("receive_datagrams", state, move |state| {
+        peers::receive_datagrams(state, Arc::clone(&socket))
+    });
+    supervise("send_reports", state, peers::send_reports);
+    supervise("accounting", state, accounting::run);
+    let port = listen.routers.port();
+    supervise("request_snapshots", state, move |state| peers::request_snapshots(state, port));
+    supervise("register", state, move |state| {
+        platform_sync::register(state, Arc::clone(&feed), listen.reports)
+    });
     let listener = bind("routers", listen.routers).await?;
     spawn_server(listener, Arc::new(peers::SnapshotResponder::new(Arc::clone(state))));
     Ok(())
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -87,6 +87,8 @@
     /// Whether the last call for operators' rows succeeded. During an outage only these calls are
     /// repeated at short intervals.
     platform_available: watch::Sender<bool>,
+    /// Sequence number of the last report of this process.
+    report_sequence: AtomicU32,
     draining: AtomicBool,
     open_requests: AtomicUsize,
 }
@@ -155,6 +157,7 @@
             snapshot_due: Notify::new(),
             report_requested: Notify::new(),
             platform_available: watch::Sender::new(true),
+            report_sequence: AtomicU32::new(0),
             draining: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
         }
@@ -405,7 +408,8 @@
     /// Takes the new cache entries from the index. Counts the report for each change that the
     /// report contains, because the changes with the fewest reports come first.
     #[must_use]
-    pub fn build_report(&self, sequence: u32) -> Report {
+    pub fn build_report(&self) -> Report {
+        let sequence = self.report_sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let version = self.config().map_or(0, |config| config.version);
         let leaving = self.draining.load(Ordering::SeqCst);
         let now = self.clock.now();
--- a/crates/cornelpass-router/src/serve.rs
+++ b/crates/cornelpass-router/src/serve.rs
@@ -11,7 +11,7 @@
 use cornelpass_operator::log;
 use cornelpass_operator::metrics::Metrics;
 use cornelpass_operator::settings::Router;
-use cornelpass_operator::stop;
+use cornelpass_operator::{stop, supervisor};
 use cornelpass_platform::claims::TableClaims;
 use cornelpass_platform::config::Follower;
 use cornelpass_platform::http::Platform;
@@ -65,8 +65,10 @@
         .with_acceptor()
         .with_lease(&lease_holder);
     config::follow(Arc::clone(&state), follower, settings.platform.poll, stopped);
-    tokio::spawn(startup::run(Arc::clone(&state), settings.peers));
-    tokio::spawn(sidecars::run(Arc::clone(&state)));
+    let (startup_state, peers) = (Arc::clone(&state), settings.peers);
+    supervisor::spawn("startup", move || startup::run(Arc::clone(&startup_state), peers.clone()));
+    let sidecars_state = Arc::clone(&state);
+    supervisor::spawn("sidecars", move || sidecars::run(Arc::clone(&sidecars_state)));
     let handler = Arc::new(ChatHandler::new(Arc::clone(&state)));
     let (stage, stages) = tokio::sync::watch::channel(Stage::Serving);
     let serving = tokio::spawn(Server::new(handler, Limits::default(), stages).run(callers));
--- a/crates/cornelpass-sidecar/src/config.rs
+++ b/crates/cornelpass-sidecar/src/config.rs
@@ -4,11 +4,10 @@
 //! The follower runs on its own thread because the platform's client blocks.
 
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use cornelpass_operator::event::Code;
-use cornelpass_operator::log;
+use cornelpass_operator::{log, supervisor};
 use cornelpass_platform::config::{Event, Follower};
 use flume::Receiver;
 
@@ -27,7 +26,7 @@
     interval: Duration,
     stop: Receiver<()>,
 ) {
-    thread::spawn(move || {
+    supervisor::spawn_thread("config", move || {
         let mut was_reachable = true;
         loop {
             let event = follower.poll();
--- a/crates/cornelpass-sidecar/src/instances.rs
+++ b/crates/cornelpass-sidecar/src/instances.rs
@@ -4,9 +4,9 @@
 //! and refuses new requests after a grace time. If the list cannot be read, nothing changes.
 
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
+use cornelpass_operator::supervisor;
 use cornelpass_platform::instances::{Instances, State};
 use flume::{Receiver, RecvTimeoutError};
 
@@ -20,7 +20,7 @@
 /// `name` is the instance name of the sidecar.
 pub fn follow(sidecar: Arc<Sidecar>, list: Arc<dyn Instances>, name: &str, stop: Receiver<()>) {
     let names = [name.to_owned(), sidecar.target.clone()];
-    thread::spawn(move || {
+    supervisor::spawn_thread("instances", move || {
         loop {
             if let Ok(instances) = list.list() {
                 let leaving = instances.iter().any(|instance| {
--- a/crates/cornelpass-sidecar/src/serve.rs
+++ b/crates/cornelpass-sidecar/src/serve.rs
@@ -8,7 +8,7 @@
 use cornelpass_operator::event::{self, Code};
 use cornelpass_operator::log;
 use cornelpass_operator::metrics::Metrics;
-use cornelpass_operator::{settings, stop};
+use cornelpass_operator::{settings, stop, supervisor};
 use cornelpass_platform::claims::TableClaims;
 use cornelpass_platform::config::Follower;
 use cornelpass_platform::http::Platform;
@@ -73,8 +73,10 @@
     instances::follow(Arc::clone(&sidecar), platform.clone(), name, stopped.clone());
     let follower = Follower::new(platform, clock, sidecar.shared_replica());
     config::follow(Arc::clone(&sidecar), follower, settings.platform.poll, stopped);
-    tokio::spawn(config::poll_readiness(Arc::clone(&sidecar)));
-    tokio::spawn(probe::run(Arc::clone(&sidecar)));
+    let ready_sidecar = Arc::clone(&sidecar);
+    supervisor::spawn("readiness", move || config::poll_readiness(Arc::clone(&ready_sidecar)));
+    let probed_sidecar = Arc::clone(&sidecar);
+    supervisor::spawn("probe", move || probe::run(Arc::clone(&probed_sidecar)));
     log!(Code::Started, instance = name, routers = %address, operators = %console.address());
 
     stop::wait_for_signal().await?;
