fix(router): a row that cannot be read names no target, also if it replaces one

Callers saw nothing yet.

Cause: a changed row that cannot be decoded was logged and dropped; only a complete read took it for a removal.

Change: such a row removes the target until it writes its row again, and is event 510 instead of 201.

--- a/crates/cornelpass-operator/src/event.rs
+++ b/crates/cornelpass-operator/src/event.rs
@@ -46,7 +46,7 @@
     /// A configuration has become active.
     ConfigApplied = 200,
     /// The operators' rows do not pass the checks, the platform names a lower version than the
-    /// active one, or a row of the platform cannot be decoded.
+    /// active one, or a row of the operators or of a router cannot be decoded.
     ConfigRejected = 201,
     /// The platform does not respond.
     PlatformUnreachable = 202,
@@ -123,6 +123,8 @@
     Quarantined = 508,
     /// Requests with certain features are served again.
     Released = 509,
+    /// A row in the platform's table of the targets cannot be decoded and names no target.
+    TargetRowMalformed = 510,
     /// The outcome of a call could not be recorded yet.
     ClaimPending = 600,
     /// The outcome of a call is unknown.
@@ -156,6 +158,7 @@
             | Self::PlatformRestored
             | Self::AnswerCut
             | Self::TargetRestarted
+            | Self::TargetRowMalformed
             | Self::TargetLost
             | Self::TargetSilent
             | Self::Suspected
--- a/crates/cornelpass-router/src/gateway/platform_sync.rs
+++ b/crates/cornelpass-router/src/gateway/platform_sync.rs
@@ -339,6 +339,11 @@
             Record::TargetRemoved(name) => {
                 state.fleet().apply_platform_row(now, &name, None, topic_row.revision)
             }
+            Record::Malformed { key, problem } if topic == Topic::Targets => {
+                log!(Code::TargetRowMalformed, target = key, problem);
+                // The row names no target, also if it has replaced the row of one.
+                state.fleet().apply_platform_row(now, &key, None, topic_row.revision);
+            }
             Record::Malformed { key, problem } => log!(Code::ConfigRejected, key, problem),
             Record::Router(name, address) if name != state.name => {
                 state.fleet().add_router(now, address);
