fix(core): a dead call to the platform is no outage

Cause: expired rows stay in use for 2.3 s after an outage, and each topic took a single failed call for one. A call for the rows of the routers fails 25.6 s after its connection was lost, while the other topics are read all the while.

Change: an outage is shown by two calls in a row without a response, a refused connection or a server error; a call that follows a failed one does not wait. No grace begins if this router has read the targets since the first failure. Event 203 says whether it begins.

--- a/crates/cornelpass-core/src/fleet.rs
+++ b/crates/cornelpass-core/src/fleet.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod locality;
 pub mod notice;
+pub mod outage;
 pub mod polling;
 pub mod prefix_cache;
 mod ranking;
@@ -401,13 +402,16 @@
     /// Records that the platform responds to this router again, after an outage that lasted
     /// `outage`.
     ///
-    /// Starts [`EXPIRED_ROW_GRACE`], unless other routers received responses meanwhile: then the
-    /// platform itself was available and no rows have expired.
-    pub fn record_platform_return(&mut self, now: Instant, outage: Duration) {
-        let responded_to_others = self.peers.platform_responded_to_others(now, outage);
-        if !responded_to_others {
+    /// Starts [`EXPIRED_ROW_GRACE`], unless this router or other routers have read the targets
+    /// meanwhile: then the platform itself was available and no rows have expired. Returns whether
+    /// the grace starts.
+    pub fn record_platform_return(&mut self, now: Instant, outage: Duration) -> bool {
+        let responded = self.change_log.has_response_within(now, outage)
+            || self.peers.platform_responded_to_others(now, outage);
+        if !responded {
             self.platform_back_since = Some(now);
         }
+        !responded
     }
 
     /// Sets the data centres that operators have taken out of service.
--- a/crates/cornelpass-core/src/fleet/polling.rs
+++ b/crates/cornelpass-core/src/fleet/polling.rs
@@ -181,6 +181,12 @@
             })
     }
 
+    /// Whether the platform responded to this router within the last `time`.
+    #[must_use]
+    pub fn has_response_within(&self, now: Instant, time: Duration) -> bool {
+        self.listed_at.is_some_and(|at| now.saturating_duration_since(at) < time)
+    }
+
     /// Time since the platform last responded to this router, in milliseconds.
     ///
     /// [`MAX_AGE_MS`] if this time is greater, or the platform has not responded yet.
--- a/crates/cornelpass-core/tests/pattern_platform_outage.rs
+++ b/crates/cornelpass-core/tests/pattern_platform_outage.rs
@@ -8,10 +8,11 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::cluster::{Cluster, prompt, request, router_address, row, target_name};
 use cornelpass_core::fleet::EXPIRED_ROW_GRACE;
+use cornelpass_core::fleet::outage::{Failure, Streak};
 use cornelpass_core::report::Report;
 use cornelpass_core::request::RetrySafety;
 
@@ -69,6 +70,46 @@
     assert!(!is_served(&mut cluster));
 }
 
+// Guards against an outage that is assumed from failed calls of one kind, although this router has
+// read the targets all the while.
+#[test]
+fn missing_targets_are_not_used_if_the_router_read_the_targets_meanwhile() {
+    let mut cluster = Cluster::new(1, 3);
+    cluster.advance(OUTAGE / 2);
+    let now = cluster.now;
+    cluster.fleets[0].record_platform_sync(now, 99);
+    cluster.advance(OUTAGE / 2);
+    let now = cluster.now;
+    assert!(!cluster.fleets[0].record_platform_return(now, OUTAGE));
+    cluster.fleets[0].apply_complete_list(now, &[].into(), 100);
+    assert!(!is_served(&mut cluster));
+}
+
+/// Outage that failed calls show, one in each second, the last one a second before the response.
+fn outage_after(failures: &[Failure]) -> Option<Duration> {
+    let (mut streak, mut now) = (Streak::default(), Instant::now());
+    for failure in failures {
+        streak.record_failure(now, *failure);
+        now += Duration::from_secs(1);
+    }
+    let outage = streak.record_response(now);
+    assert_eq!(streak.record_response(now), None, "the streak has ended");
+    outage
+}
+
+// Guards against an outage that is assumed from one call whose connection was lost silently.
+#[test]
+fn only_failures_of_the_platform_itself_show_an_outage() {
+    use Failure::{NoResponse, Rejected, Unavailable};
+    assert_eq!(outage_after(&[]), None);
+    assert_eq!(outage_after(&[NoResponse]), None);
+    assert_eq!(outage_after(&[Rejected; 5]), None);
+    assert_eq!(outage_after(&[Rejected, NoResponse, Rejected]), None);
+    assert_eq!(outage_after(&[Unavailable]), Some(Duration::from_secs(1)));
+    assert_eq!(outage_after(&[NoResponse; 2]), Some(Duration::from_secs(2)));
+    assert_eq!(outage_after(&[NoResponse, Unavailable, Rejected]), Some(Duration::from_secs(3)));
+}
+
 #[test]
 fn a_target_removed_before_the_outage_is_not_used() {
     let mut cluster = Cluster::new(1, 1);
--- a/crates/cornelpass-platform/src/error.rs
+++ b/crates/cornelpass-platform/src/error.rs
@@ -1,7 +1,11 @@
 //! Errors of requests to the platform. The variants show whether the request may have taken effect.
 
+use cornelpass_core::fleet::outage::Failure;
 use snafu::Snafu;
 
+/// Smallest HTTP status of a server error.
+const MIN_SERVER_ERROR: u16 = 500;
+
 /// Failure of one request to the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub))]
@@ -49,6 +53,19 @@
 }
 
 impl Error {
+    /// What the failure shows about the platform.
+    #[must_use]
+    pub const fn failure(&self) -> Failure {
+        match self {
+            Self::Lost { .. } => Failure::NoResponse,
+            Self::Unreachable { .. } => Failure::Unavailable,
+            Self::Rejected { status, .. } if *status >= MIN_SERVER_ERROR => Failure::Unavailable,
+            Self::Rejected { .. } | Self::Conflict { .. } | Self::Malformed { .. } => {
+                Failure::Rejected
+            }
+        }
+    }
+
     /// Whether the request may have taken effect, or may still do so.
     ///
     /// False for every [`Error::Rejected`].
--- a/crates/cornelpass-router/src/gateway/platform_sync.rs
+++ b/crates/cornelpass-router/src/gateway/platform_sync.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use cornelpass_core::fleet::outage::Streak;
 use cornelpass_core::fleet::polling::Next;
 use cornelpass_operator::event::Code;
 use cornelpass_operator::log;
@@ -97,9 +98,12 @@
     reachable: Option<bool>,
     /// When `reachable` last changed.
     reachable_since: Option<Instant>,
+    /// What the failed calls since the last response show about the platform.
+    streak: Streak,
     /// Failed calls in a row.
     failures: u32,
-    /// Whether the next call must not wait, because another router has a higher revision.
+    /// Whether the next call must not wait: another router has a higher revision, or the last call
+    /// failed and the next one shows whether the platform or only the connection was away.
     skip_wait: bool,
 }
 
@@ -132,6 +136,7 @@
         }
         if failed {
             progress.failures += 1;
+            progress.skip_wait = true;
             if progress.failures >= REREAD_FAILURES {
                 progress.revision = None;
             }
@@ -270,10 +275,14 @@
     progress: &mut Progress,
     error: Option<&Error>,
 ) {
+    let now = state.clock.now();
     let reachable = error.is_none();
     if topic == Topic::Operators {
         state.set_platform_available(reachable);
     }
+    if let Some(error) = error {
+        progress.streak.record_failure(now, error.failure());
+    }
     if progress.reachable == Some(reachable) {
         return;
     }
@@ -281,18 +290,17 @@
     match error {
         Some(error) => log!(Code::PlatformUnreachable, topic, %error),
         None => {
-            let now = state.clock.now();
-            let outage = progress
+            let away = progress
                 .reachable_since
                 .map_or(Duration::ZERO, |changed_at| now.saturating_duration_since(changed_at));
-            if progress.reachable.is_some() {
-                state.fleet().record_platform_return(now, outage);
-            }
-            log!(Code::PlatformReachable, topic, away_ms = outage.as_millis() as u64);
+            let outage = progress.streak.record_response(now);
+            let grace =
+                outage.is_some_and(|outage| state.fleet().record_platform_return(now, outage));
+            log!(Code::PlatformReachable, topic, away_ms = away.as_millis() as u64, grace);
         }
     }
     progress.reachable = Some(reachable);
-    progress.reachable_since = Some(state.clock.now());
+    progress.reachable_since = Some(now);
 }
 
 /// Applies rows of a topic to the state.
