fix(router): an unnamed refusal on a kept connection proves nothing

Callers would see: a refusal (503, 421, 429) for a request that a target runs, or a second execution of it.

Cause: a refusal without the id of its request was taken for the one of the request in progress, also on a connection that had served others, where a faulty target may have written an earlier refusal once more. Refusals that name another request were told apart before.

Change: on a reused connection, only a refusal that names the request counts as not run.

Evidence: a_repeated_refusal_does_not_count_for_the_next_request_of_its_connection failed before the change (503 for a booking that ran) and passed in three runs with it, for three kinds of refusals, with one and two targets.

--- a/crates/cornelpass-router/src/gateway/attempt.rs
+++ b/crates/cornelpass-router/src/gateway/attempt.rs
@@ -351,7 +351,11 @@
             Classification::OtherRequest | Classification::Invalid => {
                 return Outcome::lost(Reason::TargetError);
             }
-            Classification::NotRun { misdirected } => {
+            // Perhaps an earlier refusal, which the target has sent once more.
+            Classification::NotRun { identified: false, .. } if connection.pooled.reused => {
+                return Outcome::lost(Reason::TargetError);
+            }
+            Classification::NotRun { misdirected, .. } => {
                 let reason = if misdirected { Reason::OutOfService } else { Reason::Overloaded };
                 return Outcome::failed(reason, Execution::NotRun, true);
             }
--- a/crates/cornelpass-target/src/protocol.rs
+++ b/crates/cornelpass-target/src/protocol.rs
@@ -49,6 +49,9 @@
     NotRun {
         /// Whether another target received the request, because it now has the address.
         misdirected: bool,
+        /// Whether the response contains the ID of the request. Without it, the response may belong
+        /// to an earlier request on the same connection.
+        identified: bool,
     },
     /// Response of the target to the request.
     Response {
