fix(router): only a response of the same status continues a stream

Callers would see: a stream that broke off ends as complete, if the next target answers with another success, such as 204.

Cause: any signed success was taken for the rest of the stream.

Change: the status has to be the one that the caller has.

--- a/crates/cornelpass-router/src/gateway/attempt.rs
+++ b/crates/cornelpass-router/src/gateway/attempt.rs
@@ -195,8 +195,8 @@
     pub frames: &'a Sender<Frame>,
     /// Events that the caller has received.
     pub events: Events,
-    /// Whether the head of the response has been sent to the caller.
-    pub head_sent: bool,
+    /// Status of the response, once its head has been sent to the caller.
+    pub sent_status: Option<StatusCode>,
     /// Version of the model weights that generate the response, once it is known.
     pub weights_version: Option<u64>,
     /// Times at which chunks of the response were sent to the caller.
@@ -370,6 +370,10 @@
         if !success && self.request.retry_safety.allows_retry() {
             return self.collect_error(state, response).await;
         }
+        if self.sent_status.is_some_and(|sent_status| sent_status != status) {
+            // Not the rest of the response of which the caller has the head.
+            return Outcome::lost(Reason::TargetError);
+        }
         if let Some(prompt) = &self.request.prompt {
             let Choice { target, position, .. } = &dispatch.choice;
             state.fleet().cache_index().record_prefill(
@@ -383,7 +387,7 @@
             self.weights_version = self.weights_version.or(weights_version);
             return self.forward_events(state, dispatch, response).await;
         }
-        if self.head_sent {
+        if self.sent_status.is_some() {
             // The caller has the head of an earlier response, which this one cannot continue.
             return Outcome::lost(Reason::TargetError);
         }
@@ -531,8 +535,8 @@
 
     /// Sends the head of the response to the caller, unless an earlier attempt has sent it.
     async fn send_head(&mut self, state: &State, status: StatusCode, headers: HeaderMap) {
-        if !self.head_sent {
-            self.head_sent = true;
+        if self.sent_status.is_none() {
+            self.sent_status = Some(status);
             if self.request.framing == Framing::Body {
                 self.timing.record_chunk(state.clock.now());
             }
--- a/crates/cornelpass-router/src/gateway/relay.rs
+++ b/crates/cornelpass-router/src/gateway/relay.rs
@@ -148,7 +148,7 @@
         message: &message,
         frames: &frames,
         events: Events::resume_after(message.last_event_id),
-        head_sent: false,
+        sent_status: None,
         weights_version: None,
         timing: Timing::default(),
     };
@@ -291,7 +291,7 @@
 ) -> Step {
     let (id, now) = (&delivery.request.id, state.clock.now());
     let route = &delivery.request.route;
-    let response_started = delivery.head_sent;
+    let response_started = delivery.sent_status.is_some();
     let failed_attempt = match outcome {
         Outcome::Complete { .. } => {
             let ms = now.saturating_duration_since(delivery.request.arrived_at).as_millis();
@@ -363,7 +363,7 @@
 async fn finish(state: &State, delivery: &mut Delivery<'_>, progress: &mut Progress) -> Step {
     let (id, route) = (&delivery.request.id, &delivery.request.route);
     let execution = progress.history.execution();
-    if delivery.head_sent {
+    if delivery.sent_status.is_some() {
         log!(Code::AnswerCut, id, reason = progress.reason.name());
         state.metrics.count_ended_request(route, Ending::Aborted, Some(progress.reason));
         delivery.send_frame(Frame::Aborted).await;
