fix(caller): bodies count against the memory until their requests end

Cause: the budget for bodies was given back when a body had arrived; nothing bounded the bodies of requests in progress.

Change: the reservation belongs to the body. The budget follows from limits.memory_mb, which the platform fills in, less a reserve. What does not fit is refused with 503 and the time to come back.

--- a/crates/cornelpass-caller/src/body.rs
+++ b/crates/cornelpass-caller/src/body.rs
@@ -1,16 +1,18 @@
 //! Reads request bodies within limits on size, time and total memory.
 //!
 //! Each body reserves its declared length, or the size limit if it declares none, in a shared
-//! budget before it is read. A body that does not fit is refused at once, so that slow uploads
-//! cannot exhaust the memory of the process.
+//! budget before it is read, and keeps what it uses until its request has ended. A body that does
+//! not fit is refused at once, so that neither slow uploads nor many requests in progress can
+//! exhaust the memory of the process.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cornelpass_core::refusal::Reason;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body as _;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
 use crate::problem::Problem;
@@ -20,17 +22,37 @@
 /// Size of one permit of the budget, in bytes.
 const PERMIT_BYTES: usize = 1024;
 
-/// Memory budget for request bodies that are being received.
+/// Memory budget for request bodies.
 pub struct Budget {
     /// Free memory, in permits of [`PERMIT_BYTES`].
-    free: Semaphore,
+    free: Arc<Semaphore>,
+}
+
+/// Body in memory; counts against its budget until it is dropped.
+#[derive(Debug)]
+pub struct Buffered {
+    bytes: Bytes,
+    _reserved: OwnedSemaphorePermit,
+}
+
+impl Buffered {
+    /// Whole body.
+    #[must_use]
+    pub const fn bytes(&self) -> &Bytes {
+        &self.bytes
+    }
+}
+
+/// Permits for a number of bytes.
+fn permits(bytes: usize) -> usize {
+    bytes.div_ceil(PERMIT_BYTES)
 }
 
 impl Budget {
     /// Creates a budget of a number of bytes.
     #[must_use]
     pub fn new(bytes: usize) -> Self {
-        Self { free: Semaphore::new(bytes / PERMIT_BYTES) }
+        Self { free: Arc::new(Semaphore::new(bytes / PERMIT_BYTES)) }
     }
 
     /// Reads a body of at most `limit` bytes within a time-out.
@@ -44,7 +66,7 @@
         body: RequestBody,
         limit: usize,
         time_limit: Duration,
-    ) -> Result<Bytes, Problem> {
+    ) -> Result<Buffered, Problem> {
         let too_large = || {
             Problem::refused(Reason::TooLarge).with_detail(format!("body: at most {limit} bytes"))
         };
@@ -52,8 +74,8 @@
         if length > limit {
             return Err(too_large());
         }
-        let permits = u32::try_from(length.div_ceil(PERMIT_BYTES)).unwrap_or(u32::MAX);
-        let Ok(_reserved) = self.free.try_acquire_many(permits) else {
+        let needed = u32::try_from(permits(length)).unwrap_or(u32::MAX);
+        let Ok(mut reserved) = Arc::clone(&self.free).try_acquire_many_owned(needed) else {
             let problem = Problem::refused(Reason::Overloaded).with_detail("no room for the body");
             return Err(problem.with_retry_after(Some(OVERLOAD_RETRY_DELAY)));
         };
@@ -61,7 +83,12 @@
             Err(_) => {
                 Err(Problem::refused(Reason::TooSlow).with_detail("body: not received in time"))
             }
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Ok(collected)) => {
+                let bytes = collected.to_bytes();
+                let surplus = reserved.num_permits().saturating_sub(permits(bytes.len()));
+                drop(reserved.split(surplus));
+                Ok(Buffered { bytes, _reserved: reserved })
+            }
             Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
             Ok(Err(error)) => {
                 Err(Problem::refused(Reason::BadRequest).with_detail(format!("body: {error}")))
--- a/crates/cornelpass-caller/src/dispatch.rs
+++ b/crates/cornelpass-caller/src/dispatch.rs
@@ -7,13 +7,12 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use cornelpass_core::digest;
 use cornelpass_core::refusal::Reason;
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response};
 
-use crate::body::Budget;
+use crate::body::{Budget, Buffered};
 use crate::handler::Handler;
 use crate::headers::{optional_header, organisation};
 use crate::problem::Problem;
@@ -67,7 +66,9 @@
             // The model of a resumed stream is not known here.
             return response::events(self.handler.resume(resume), "").await;
         }
-        let chat = self.read_chat(headers, body).await.or_else(|problem| self.refuse(problem))?;
+        let chat = self.read_chat(headers, body).await;
+        // The body counts against the budget until the response starts.
+        let (chat, _body) = chat.or_else(|problem| self.refuse(problem))?;
         let (model, streamed) = (chat.model.clone(), chat.streamed);
         let stream = self.handler.chat(chat);
         if streamed {
@@ -77,10 +78,16 @@
         }
     }
 
-    async fn read_chat(&self, headers: &HeaderMap, body: RequestBody) -> Result<Chat, Problem> {
+    async fn read_chat(
+        &self,
+        headers: &HeaderMap,
+        body: RequestBody,
+    ) -> Result<(Chat, Buffered), Problem> {
         let organisation = organisation(headers)?;
         let chat_id = optional_header(headers, request::CHAT_ID_HEADER)?;
-        Chat::parse(organisation, chat_id, &self.read_body(body).await?)
+        let body = self.read_body(body).await?;
+        let chat = Chat::parse(organisation, chat_id, body.bytes())?;
+        Ok((chat, body))
     }
 
     async fn call(
@@ -92,7 +99,7 @@
         body: RequestBody,
     ) -> Result<Response<Body>, Problem> {
         let call = self.read_call(method, headers, service, path, body).await;
-        let call = call.or_else(|problem| self.refuse(problem))?;
+        let (call, _body) = call.or_else(|problem| self.refuse(problem))?;
         self.handler.call(call).await.map(response::from_service)
     }
 
@@ -103,7 +110,7 @@
         service: &str,
         path: String,
         body: RequestBody,
-    ) -> Result<Call, Problem> {
+    ) -> Result<(Call, Buffered), Problem> {
         let organisation = organisation(headers)?.to_owned();
         let key = optional_header(headers, request::IDEMPOTENCY_KEY_HEADER)?;
         if key.is_none() && !method.is_safe() {
@@ -112,11 +119,11 @@
             return Err(Problem::refused(Reason::MissingKey).with_detail(detail));
         }
         let content_type = optional_header(headers, "content-type")?.unwrap_or("application/json");
-        let body = self.read_body(body).await?;
-        let body = std::str::from_utf8(&body)
+        let buffered = self.read_body(body).await?;
+        let body = std::str::from_utf8(buffered.bytes())
             .map_err(|_| Problem::refused(Reason::BadRequest).with_detail("body: not UTF-8"))?;
         let content = format!("{method} {service} {path}\n{body}");
-        Ok(Call {
+        let call = Call {
             organisation,
             service: service.to_owned(),
             method: method.to_string(),
@@ -126,10 +133,11 @@
             body: body.to_owned(),
             idempotency_key: key.filter(|_| !method.is_safe()).map(str::to_owned),
             timeout: request::REQUEST_TIMEOUT,
-        })
+        };
+        Ok((call, buffered))
     }
 
-    async fn read_body(&self, body: RequestBody) -> Result<Bytes, Problem> {
+    async fn read_body(&self, body: RequestBody) -> Result<Buffered, Problem> {
         self.budget.read(body, self.limits.body_bytes, self.limits.body_timeout).await
     }
 }
--- a/crates/cornelpass-caller/src/gateway.rs
+++ b/crates/cornelpass-caller/src/gateway.rs
@@ -25,16 +25,13 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::mpsc::Receiver;
 
-use crate::body::Budget;
+use crate::body::{Budget, Buffered};
 use crate::flush::FlushBeforeError;
 use crate::problem::Problem;
 use crate::responder::Responder;
 use crate::response::{self, Body};
 use crate::tracked_body::RequestBody;
 
-/// Maximum total size of all bodies that are received at the same time, in bytes.
-const BODY_BUDGET_BYTES: usize = 64 * 1024 * 1024;
-
 /// Time limit for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -72,7 +69,7 @@
 }
 
 /// HTTP message of a request, as forwarded to a target.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Message {
     /// HTTP method.
     pub method: Method,
@@ -80,8 +77,8 @@
     pub path_and_query: String,
     /// Headers to forward.
     pub headers: HeaderMap,
-    /// Whole body.
-    pub body: Bytes,
+    /// Whole body, which counts against the memory budget until the message is dropped.
+    pub body: Buffered,
     /// ID of the last event that the caller received, if the request resumes a stream.
     pub last_event_id: Option<u64>,
 }
@@ -135,9 +132,11 @@
 
 impl Gateway {
     /// Creates a gateway in front of a relay.
+    ///
+    /// `body_bytes` is the maximum total size of the bodies of all requests in progress, in bytes.
     #[must_use]
-    pub fn new(codec: Arc<dyn Codec>, relay: Arc<dyn Relay>) -> Self {
-        Self { codec, relay, budget: Budget::new(BODY_BUDGET_BYTES) }
+    pub fn new(codec: Arc<dyn Codec>, relay: Arc<dyn Relay>, body_bytes: usize) -> Self {
+        Self { codec, relay, budget: Budget::new(body_bytes) }
     }
 
     async fn accept(
@@ -159,8 +158,12 @@
         let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let path_and_query =
             parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-        let digest =
-            content_digest(&parts.method, &path_and_query, metadata.api_key.as_deref(), &body);
+        let digest = content_digest(
+            &parts.method,
+            &path_and_query,
+            metadata.api_key.as_deref(),
+            body.bytes(),
+        );
         let prompt = metadata.prompt.take();
         // Prompts of a model with the same first part go to the same service of the route.
         let share_key = prompt.as_ref().map_or_else(|| digest::key(&metadata.id), Prompt::root_key);
--- a/crates/cornelpass-operator/src/settings/gateway.rs
+++ b/crates/cornelpass-operator/src/settings/gateway.rs
@@ -94,6 +94,8 @@
     pub platform: SocketAddr,
     /// Maximum number of open files and connections.
     pub files: usize,
+    /// Maximum memory of the process, in bytes.
+    pub memory_bytes: usize,
     /// Format of the log.
     pub log: Format,
     /// Requirements of the deployment.
@@ -108,6 +110,17 @@
 /// it.
 const DEFAULT_FILES: f64 = 1024.0;
 
+/// Minimum memory with which a router can serve, in megabytes; `f64`, as `Section::number` reads
+/// it.
+const MIN_MEMORY_MB: f64 = 64.0;
+
+/// Maximum memory if the settings do not state it, in megabytes; `f64`, as `Section::number` reads
+/// it.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+
+/// Bytes of a megabyte, as in `memory_mb`.
+const MEGABYTE: usize = 1024 * 1024;
+
 /// Parses the settings of a router that serves the gateway interface; `path` is only used in the
 /// findings.
 ///
@@ -126,6 +139,7 @@
     section.report_unknown_keys();
     let mut section = root.optional_section("limits");
     let files = section.number("files", MIN_FILES, 1e9).unwrap_or(DEFAULT_FILES);
+    let memory_mb = section.number("memory_mb", MIN_MEMORY_MB, 1e6).unwrap_or(DEFAULT_MEMORY_MB);
     section.report_unknown_keys();
     let mut section = root.optional_section("log");
     let log = section.optional("format", "\"text\" or \"json\"", |text| text.parse().ok());
@@ -137,9 +151,9 @@
         return Err(document.incomplete_error());
     };
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked above")]
-    let files = files as usize;
+    let (files, memory_bytes) = (files as usize, memory_mb as usize * MEGABYTE);
     let log = log.unwrap_or_default();
-    Ok(Gateway { instance, listen, seeds, platform, files, log, requirements })
+    Ok(Gateway { instance, listen, seeds, platform, files, memory_bytes, log, requirements })
 }
 
 fn read_instance(root: &mut Section<'_>) -> Option<Instance> {
--- a/crates/cornelpass-router/src/gateway/attempt.rs
+++ b/crates/cornelpass-router/src/gateway/attempt.rs
@@ -315,7 +315,7 @@
         let mut message = hyper::Request::builder()
             .method(method.clone())
             .uri(path_and_query.as_str())
-            .body(Full::new(body.clone()))
+            .body(Full::new(body.bytes().clone()))
             .ok()?;
         *message.headers_mut() = headers.clone();
         let attempt = Attempt {
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -65,6 +65,12 @@
 /// So the time should be longer than the time-outs of the routes.
 const MISSING_RETENTION: Duration = Duration::from_secs(30);
 
+/// Memory that is not available to the bodies of requests, in bytes.
+///
+/// It is for connections, each with buffers of some tens of kilobytes, for the state of targets and
+/// routers, and for the copy of a body while it arrives.
+const MEMORY_RESERVE_BYTES: usize = 96 * 1024 * 1024;
+
 /// Runs a gateway until it receives a signal to stop.
 ///
 /// # Errors
@@ -125,7 +131,8 @@
         run_maintenance(state, limits_sender.clone(), files, reuse)
     });
     let relay = Arc::new(Relay::new(Arc::clone(&state)));
-    let gateway = Arc::new(Gateway::new(Arc::new(caller::HeaderCodec), relay));
+    let body_bytes = body_budget(settings.memory_bytes);
+    let gateway = Arc::new(Gateway::new(Arc::new(caller::HeaderCodec), relay, body_bytes));
     let (stage, stages) = watch::channel(Stage::Serving);
     let serving = tokio::spawn(Server::with_responder(gateway, limits, stages).run(callers));
     log!(Code::Started, instance = state.name, callers = %settings.listen.callers);
@@ -257,6 +264,16 @@
     }
 }
 
+/// Maximum total size of the bodies of all requests in progress, in bytes.
+const fn body_budget(memory_bytes: usize) -> usize {
+    let reserve = if memory_bytes / 2 < MEMORY_RESERVE_BYTES {
+        memory_bytes / 2
+    } else {
+        MEMORY_RESERVE_BYTES
+    };
+    memory_bytes - reserve
+}
+
 /// Limits on callers; half of the files are left for connections to targets.
 fn caller_limits(config: &gateway_config::Limits, files: usize) -> Limits {
     Limits {
