fix(caller): check the heads of pipelined requests

A sound request that was split within the last line end of its head got 400.

Cause: bytes were scanned only while the connection was idle; what was read together with an earlier request went to the HTTP library unchecked.

Change: a scanner follows all requests of a connection by their framing. The first ambiguous request and all later ones get 400; those before it are served.

--- a/crates/cornelpass-caller/src/connection_state.rs
+++ b/crates/cornelpass-caller/src/connection_state.rs
@@ -17,9 +17,10 @@
     requests_started: AtomicU32,
     /// Requests whose response has ended.
     requests_ended: AtomicU32,
-    /// Whether an ambiguous head was read. Not reset, because the connection closes after the
-    /// response to it.
-    ambiguous: AtomicBool,
+    /// Number of requests before the first one that may be read in two ways; one more than that
+    /// is stored, and 0 if there is none. Not reset, because the connection closes after the
+    /// response to that request.
+    ambiguous_from: AtomicU32,
     /// Whether the body of the current request has not been read to its end.
     unread: AtomicBool,
     /// Task of the connection.
@@ -31,8 +32,8 @@
     ///
     /// The request is in progress until the returned value is dropped.
     pub(crate) fn start_request(state: &Arc<Self>) -> ActiveRequest {
-        state.requests_started.fetch_add(1, Ordering::Relaxed);
-        ActiveRequest { state: Arc::clone(state) }
+        let number = state.requests_started.fetch_add(1, Ordering::Relaxed);
+        ActiveRequest { state: Arc::clone(state), number }
     }
 
     /// Number of requests that have ended, or `None` while a request is in progress.
@@ -58,14 +59,9 @@
         self.unread.load(Ordering::Relaxed)
     }
 
-    /// Records that the head being read is ambiguous.
-    pub(crate) fn set_ambiguous(&self) {
-        self.ambiguous.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether an ambiguous head was read on this connection.
-    pub(crate) fn is_ambiguous(&self) -> bool {
-        self.ambiguous.load(Ordering::Relaxed)
+    /// Records that the requests after the first `count` ones may be read in two ways.
+    pub(crate) fn set_ambiguous_after(&self, count: u32) {
+        self.ambiguous_from.store(count.saturating_add(1), Ordering::Relaxed);
     }
 }
 
@@ -73,6 +69,16 @@
 #[derive(Debug)]
 pub(crate) struct ActiveRequest {
     state: Arc<ConnectionState>,
+    /// Number of the request on its connection, from 0.
+    number: u32,
+}
+
+impl ActiveRequest {
+    /// Whether the head of the request may be read in two ways, or follows one that may.
+    pub(crate) fn is_ambiguous(&self) -> bool {
+        let ambiguous_from = self.state.ambiguous_from.load(Ordering::Relaxed).checked_sub(1);
+        ambiguous_from.is_some_and(|ambiguous_from| self.number >= ambiguous_from)
+    }
 }
 
 impl Drop for ActiveRequest {
--- a/crates/cornelpass-caller/src/lib.rs
+++ b/crates/cornelpass-caller/src/lib.rs
@@ -25,6 +25,7 @@
 mod headers;
 pub mod problem;
 pub mod request;
+mod request_scanner;
 pub mod responder;
 pub mod response;
 pub mod server;
--- a/crates/cornelpass-caller/src/server.rs
+++ b/crates/cornelpass-caller/src/server.rs
@@ -208,7 +208,7 @@
         state: &Arc<ConnectionState>,
     ) -> Response<ResponseBody> {
         let active = ConnectionState::start_request(state);
-        let ambiguous = state.is_ambiguous();
+        let ambiguous = active.is_ambiguous();
         let mut response = if ambiguous {
             let problem = Problem::refused(Reason::BadRequest).with_detail("ambiguous head");
             response::report(&problem)
--- a/crates/cornelpass-caller/src/timeout_stream.rs
+++ b/crates/cornelpass-caller/src/timeout_stream.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, Sleep, sleep};
 
 use crate::connection_state::ConnectionState;
-use crate::head_scanner::{HeadScanner, Scan};
+use crate::request_scanner::RequestScanner;
 use crate::server::Limits;
 
 /// Progress of the caller towards its next request.
@@ -29,8 +29,8 @@
     /// The connection is idle, and no byte of the next request has arrived.
     Idle,
     /// A part of the head has arrived.
-    Head(HeadScanner),
-    /// The head is complete, and the HTTP library has not yet started the request.
+    Head,
+    /// The head is complete or ambiguous, and the HTTP library has not yet started the request.
     HeadComplete,
 }
 
@@ -40,6 +40,7 @@
     limits: Limits,
     state: Arc<ConnectionState>,
     read_state: ReadState,
+    scanner: RequestScanner,
     /// Number of ended requests at the previous read; `None` before the first read, or if a request
     /// was in progress at that read.
     ended_count: Option<u32>,
@@ -57,6 +58,7 @@
             limits,
             state,
             read_state: ReadState::Busy,
+            scanner: RequestScanner::default(),
             ended_count: None,
             read_timer: Box::pin(sleep(limits.idle_timeout)),
             write_timer: Box::pin(sleep(limits.write_timeout)),
@@ -84,41 +86,49 @@
 
     /// Updates the read state: busy while a request is in progress.
     ///
-    /// The idle time starts at the first read and after each request.
+    /// The idle time starts at the first read and after each request, unless a part of the next
+    /// request has arrived meanwhile.
     fn update_read_state(&mut self) {
         let ended_count = self.state.ended_count_if_idle();
-        if ended_count.is_none() {
-            self.read_state = ReadState::Busy;
-        } else if ended_count != self.ended_count {
-            self.start_read_timer(ReadState::Idle, self.limits.idle_timeout);
+        match ended_count {
+            None => self.read_state = ReadState::Busy,
+            Some(_) if ended_count == self.ended_count => {}
+            Some(ended_count) if self.has_head_after(ended_count) => {
+                self.read_state = ReadState::HeadComplete;
+            }
+            Some(_) if self.scanner.is_within_head() => {
+                self.start_read_timer(ReadState::Head, self.limits.head_timeout);
+            }
+            Some(_) => self.start_read_timer(ReadState::Idle, self.limits.idle_timeout),
         }
         self.ended_count = ended_count;
     }
 
+    /// Whether the head after the first `count` ones is complete, or ambiguous.
+    const fn has_head_after(&self, count: u32) -> bool {
+        self.scanner.complete_heads() > count || self.scanner.is_stopped()
+    }
+
     fn start_read_timer(&mut self, read_state: ReadState, limit: Duration) {
         self.read_state = read_state;
         self.read_timer.as_mut().reset(Instant::now() + limit);
     }
 
-    /// Scans received bytes for the end of the head and for ambiguities.
+    /// Scans received bytes for the ends of heads and for ambiguities.
     fn scan(&mut self, bytes: &[u8]) {
         if bytes.is_empty() {
             return;
         }
+        self.scanner.scan(bytes);
+        if self.scanner.is_stopped() {
+            self.state.set_ambiguous_after(self.scanner.complete_heads());
+        }
         if matches!(self.read_state, ReadState::Idle) {
-            self.start_read_timer(
-                ReadState::Head(HeadScanner::default()),
-                self.limits.head_timeout,
-            );
+            self.start_read_timer(ReadState::Head, self.limits.head_timeout);
         }
-        let ReadState::Head(scanner) = &mut self.read_state else { return };
-        match scanner.scan(bytes) {
-            Scan::Incomplete => {}
-            Scan::Complete => self.read_state = ReadState::HeadComplete,
-            Scan::Ambiguous => {
-                self.state.set_ambiguous();
-                self.read_state = ReadState::HeadComplete;
-            }
+        let count = self.ended_count.unwrap_or_default();
+        if matches!(self.read_state, ReadState::Head) && self.has_head_after(count) {
+            self.read_state = ReadState::HeadComplete;
         }
     }
 }
@@ -137,7 +147,7 @@
                 self.scan(&buffer.filled()[before..]);
                 Poll::Ready(result)
             }
-            Poll::Pending if matches!(self.read_state, ReadState::Idle | ReadState::Head(_)) => {
+            Poll::Pending if matches!(self.read_state, ReadState::Idle | ReadState::Head) => {
                 ready!(self.read_timer.as_mut().poll(context));
                 Poll::Ready(Err(io::Error::from(io::ErrorKind::TimedOut)))
             }
