fix(router): keep data centres out of service over a restore for as long as it takes

Cause: the time was fixed; a router that starts asked nobody; and the first of two restores ended the time of the second one, which a test for this change found.

Change: the time follows from bounds.catch_up and bounds.config and is kept for each data centre. A router that starts asks up to three others which data centres they keep, if the store has ever been restored.

--- a/crates/cornelpass-operator/src/settings/gateway.rs
+++ b/crates/cornelpass-operator/src/settings/gateway.rs
@@ -40,6 +40,9 @@
     pub grace: Duration,
     /// Time within which a new configuration must be active in all routers.
     pub config: Duration,
+    /// Time after a restore of the platform from an older copy within which the operators have
+    /// written their orders again.
+    pub catch_up: Duration,
     /// Maximum number of retries, as a share of the requests.
     pub retry_ratio: f64,
     /// Period over which the share of retries is measured.
@@ -68,6 +71,7 @@
             drain: Duration::from_secs(2),
             grace: Duration::from_secs(8),
             config: Duration::from_secs(2),
+            catch_up: Duration::from_secs(4),
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_slack: 50,
@@ -191,6 +195,7 @@
     let drain = duration("drain", defaults.drain);
     let grace = duration("grace", defaults.grace);
     let config = duration("config", defaults.config);
+    let catch_up = duration("catch_up", defaults.catch_up);
     let retry_window = duration("retry_window", defaults.retry_window);
     let pass = duration("pass", defaults.pass);
     let reuse = duration("reuse", defaults.reuse);
@@ -208,6 +213,7 @@
         drain,
         grace,
         config,
+        catch_up,
         retry_ratio,
         retry_window,
         retry_slack: to_u32(retry_slack),
--- a/crates/cornelpass-router/src/gateway/peers.rs
+++ b/crates/cornelpass-router/src/gateway/peers.rs
@@ -6,6 +6,7 @@
 //! needed: a router requests one when it starts, and when another router has newer rows of the
 //! operators than the platform has returned.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -48,6 +50,19 @@
 /// router is requested.
 const PLATFORM_GRACE: Duration = Duration::from_millis(300);
 
+/// Path under which a router returns its snapshot.
+const SNAPSHOT_PATH: &str = "/known";
+
+/// Path under which a router returns the data centres that it keeps out of service after a restore.
+const KEPT_CLOSED_PATH: &str = "/closed";
+
+/// Number of routers that are asked for these data centres; one of them may have started after the
+/// restore as well.
+const KEPT_CLOSED_RESPONSES: usize = 3;
+
+/// Number of rounds in which they are asked.
+const KEPT_CLOSED_ROUNDS: usize = 5;
+
 /// Maximum size of a snapshot, in bytes.
 const MAX_SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
 
@@ -178,14 +193,45 @@
 async fn apply_snapshot_from(state: &State, router: SocketAddr, port: u16) {
     // All routers of a deployment use the same ports.
     let address = SocketAddr::new(router.ip(), port);
-    if let Some(snapshot) = fetch_snapshot(address).await {
+    if let Some(snapshot) = fetch::<Snapshot>(address, SNAPSHOT_PATH).await {
         log!(Code::ConfigFromPeer, router = %address, version = snapshot.version());
         snapshot.apply(state);
     }
 }
 
-async fn fetch_snapshot(address: SocketAddr) -> Option<Snapshot> {
-    let request = Request::get("/known").header(HOST, host_header(address));
+/// Requests the data centres that other routers keep out of service after a restore of the platform,
+/// which a router that starts after it cannot know.
+pub async fn recall_closed_data_centres(state: Arc<State>, port: u16) {
+    while state.era().is_none() {
+        sleep(RETRY_PAUSE).await;
+    }
+    if state.era() == Some(0) {
+        // The platform was never restored.
+        return;
+    }
+    let mut responded = BTreeSet::new();
+    for _ in 0..KEPT_CLOSED_ROUNDS {
+        let others: Vec<SocketAddr> = state.fleet().peers().addresses().collect();
+        for router in others {
+            if responded.len() >= KEPT_CLOSED_RESPONSES {
+                return;
+            }
+            let address = SocketAddr::new(router.ip(), port);
+            if responded.contains(&address) {
+                continue;
+            }
+            if let Some(kept) = fetch(address, KEPT_CLOSED_PATH).await {
+                state.keep_closed(kept);
+                responded.insert(address);
+            }
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Requests a JSON value of another router.
+async fn fetch<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Option<T> {
+    let request = Request::get(path).header(HOST, host_header(address));
     let request = request.body(Full::new(Bytes::new())).ok()?;
     let limits = Limits {
         head_timeout: RESPONSE_TIMEOUT,
@@ -195,7 +241,7 @@
     match buffered::exchange(address, request, limits).await {
         Ok(response) if response.status() == StatusCode::OK => {
             match serde_json::from_slice(response.body()) {
-                Ok(snapshot) => Some(snapshot),
+                Ok(value) => Some(value),
                 Err(error) => {
                     log!(Code::PeerUnreadable, router = %address, %error);
                     None
@@ -211,7 +257,8 @@
     }
 }
 
-/// Returns the snapshot of this router to other routers.
+/// Returns the snapshot of this router to other routers, and the data centres that it keeps out of
+/// service.
 pub struct SnapshotResponder {
     state: Arc<State>,
 }
@@ -226,9 +273,13 @@
 
 #[async_trait]
 impl Responder for SnapshotResponder {
-    async fn respond(&self, _request: Request<RequestBody>) -> Response<Body> {
-        match Snapshot::capture(&self.state).and_then(|snapshot| serde_json::to_vec(&snapshot).ok())
-        {
+    async fn respond(&self, request: Request<RequestBody>) -> Response<Body> {
+        let json = match request.uri().path() {
+            KEPT_CLOSED_PATH => serde_json::to_vec(&self.state.kept_closed()).ok(),
+            _ => Snapshot::capture(&self.state)
+                .and_then(|snapshot| serde_json::to_vec(&snapshot).ok()),
+        };
+        match json {
             Some(json) => gateway::full_response(StatusCode::OK, json),
             None => gateway::full_response(StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
         }
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -214,6 +214,9 @@
     supervise("accounting", state, accounting::run);
     let port = listen.routers.port();
     supervise("request_snapshots", state, move |state| peers::request_snapshots(state, port));
+    supervise("recall_closed_data_centres", state, move |state| {
+        peers::recall_closed_data_centres(state, port)
+    });
     supervise("register", state, move |state| {
         platform_sync::register(state, Arc::clone(&feed), listen.reports)
     });
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -4,7 +4,7 @@
 //! connections to targets. It also wakes the tasks that call the platform, request snapshots of
 //! other routers, and send reports.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -30,12 +30,6 @@
 use super::closed::ClosedDataCentres;
 use super::silence::Losses;
 
-/// Time after a restore of the platform for which data centres stay out of service without an order.
-///
-/// The operators repeat their orders within the time in which routers catch up with the platform,
-/// four seconds at least.
-const RESTORE_GRACE: Duration = Duration::from_secs(4);
-
 /// State of a gateway.
 pub struct State {
     /// Name of the instance.
@@ -76,6 +70,10 @@
     restore_count: watch::Sender<u64>,
     /// Data centres out of service.
     closed: ClosedDataCentres,
+    /// Time after a restore of the platform for which data centres stay out of service without an
+    /// order: the operators repeat it within `Requirements::catch_up`, and routers then read it
+    /// within `Requirements::config`.
+    restore_grace: Duration,
     /// Notified when another router has newer rows, so that a call that waits at the platform is
     /// soon repeated without a wait.
     poll_due: Notify,
@@ -153,6 +151,7 @@
             era: Mutex::new(None),
             restore_count: watch::Sender::new(0),
             closed: ClosedDataCentres::default(),
+            restore_grace: deployment_requirements.catch_up + deployment_requirements.config,
             poll_due: Notify::new(),
             snapshot_due: Notify::new(),
             report_requested: Notify::new(),
@@ -283,16 +282,38 @@
         // The first response shows the era, but not whether it has changed.
         let Some(before) = before.filter(|before| *before < revision.era) else { return };
         let closed = self.fleet().closed_data_centres().clone();
-        self.closed.keep(closed);
         self.metrics.count_restore();
         log!(Code::PlatformRestored, before, era = revision.era, revision = %revision);
         self.restore_count.send_modify(|count| *count += 1);
-        let state = Arc::clone(self);
-        tokio::spawn(async move {
-            sleep(RESTORE_GRACE).await;
-            let closed = state.closed.end_grace();
-            state.apply_closed_data_centres(closed);
-        });
+        self.keep_closed(closed.into_iter().map(|name| (name, self.restore_grace)).collect());
+    }
+
+    /// Era of the platform; none before its first response.
+    #[must_use]
+    pub fn era(&self) -> Option<u64> {
+        *lock(&self.era)
+    }
+
+    /// Data centres that are out of service after a restore, until the operators repeat their order
+    /// or the time that is left has passed.
+    #[must_use]
+    pub fn kept_closed(&self) -> BTreeMap<String, Duration> {
+        self.closed.kept(self.clock.now())
+    }
+
+    /// Keeps data centres out of service, each for a time, even if the platform does not list them.
+    pub fn keep_closed(self: &Arc<Self>, data_centres: BTreeMap<String, Duration>) {
+        let now = self.clock.now();
+        for (data_centre, left) in data_centres {
+            let left = left.min(self.restore_grace);
+            self.closed.keep(&data_centre, now + left);
+            let state = Arc::clone(self);
+            tokio::spawn(async move {
+                sleep(left).await;
+                state.apply_closed_data_centres();
+            });
+        }
+        self.apply_closed_data_centres();
     }
 
     /// Waits until another router reports newer rows of the operators; for the task that requests
@@ -335,8 +356,8 @@
 
     /// Sets the data centres that the platform lists as out of service.
     pub fn set_closed_data_centres(&self, listed: BTreeSet<String>) {
-        let closed = self.closed.set_listed(listed);
-        self.apply_closed_data_centres(closed);
+        self.closed.set_listed(listed);
+        self.apply_closed_data_centres();
     }
 
     /// Records that the operators have brought a data centre back into service.
@@ -344,8 +365,9 @@
         self.closed.remove_kept(data_centre);
     }
 
-    /// Takes data centres out of service, and logs a change.
-    fn apply_closed_data_centres(&self, closed_data_centres: BTreeSet<String>) {
+    /// Applies the data centres that are out of service now, and logs a change.
+    fn apply_closed_data_centres(&self) {
+        let closed_data_centres = self.closed.all(self.clock.now());
         let names = closed_data_centres.iter().map(String::as_str).collect::<Vec<_>>().join(",");
         if self.fleet().set_closed_data_centres(closed_data_centres) {
             log!(Code::DataCentresOut, out = names);
