--- a/crates/cornelpass-caller/src/connection_state.rs
+++ b/crates/cornelpass-caller/src/connection_state.rs
@@ -17,9 +17,8 @@
     requests_started: AtomicU32,
     /// Requests whose response has ended.
     requests_ended: AtomicU32,
-    /// Number of requests before the first one that may be read in two ways; one more than that
-    /// is stored, and 0 if there is none. Not reset, because the connection closes after the
-    /// response to that request.
+    /// One more than the number of the first request that may be read in two ways, or 0 if there is
+    /// none. Not reset, because the connection closes after the response to that request.
     ambiguous_from: AtomicU32,
     /// Whether the body of the current request has not been read to its end.
     unread: AtomicBool,
--- a/crates/cornelpass-router/src/gateway/serve.rs
+++ b/crates/cornelpass-router/src/gateway/serve.rs
@@ -268,13 +268,8 @@
 }
 
 /// Maximum total size of the bodies of all requests in progress, in bytes.
-const fn body_budget(memory_bytes: usize) -> usize {
-    let reserve = if memory_bytes / 2 < MEMORY_RESERVE_BYTES {
-        memory_bytes / 2
-    } else {
-        MEMORY_RESERVE_BYTES
-    };
-    memory_bytes - reserve
+fn body_budget(memory_bytes: usize) -> usize {
+    memory_bytes - MEMORY_RESERVE_BYTES.min(memory_bytes / 2)
 }
 
 /// Limits on callers; half of the files are left for connections to targets.
--- a/crates/cornelpass-router/src/gateway/state.rs
+++ b/crates/cornelpass-router/src/gateway/state.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use cornelpass_core::budget::{Parameters, ServiceBudgets};
-use cornelpass_core::clock::Clock;
+use cornelpass_core::clock::{self, Clock};
 use cornelpass_core::fleet::{self, Fleet, ListingChange};
 use cornelpass_core::gateway_config::Config;
 use cornelpass_core::quarantine::{Change, feature};
@@ -151,7 +151,9 @@
             era: Mutex::new(None),
             restore_count: watch::Sender::new(0),
             closed: ClosedDataCentres::default(),
-            restore_grace: deployment_requirements.catch_up + deployment_requirements.config,
+            restore_grace: deployment_requirements
+                .catch_up
+                .saturating_add(deployment_requirements.config),
             poll_due: Notify::new(),
             snapshot_due: Notify::new(),
             report_requested: Notify::new(),
@@ -306,7 +308,7 @@
         let now = self.clock.now();
         for (data_centre, left) in data_centres {
             let left = left.min(self.restore_grace);
-            self.closed.keep(&data_centre, now + left);
+            self.closed.keep(&data_centre, clock::after(now, left));
             let state = Arc::clone(self);
             tokio::spawn(async move {
                 sleep(left).await;
